--- /dev/null
+++ b/crates/adapters/src/engine.rs
@@ -0,0 +1,317 @@
+//! Feeds inputs to the core and carries out its outputs.
+//!
+//! The core sits behind one lock. Packets, which are many, hold it only for the decision; everything else is carried
+//! out while it is held, so that a cancellation never overtakes the start it cancels. Carrying out never waits: it
+//! sends on non-blocking sockets and spawns tasks.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::runtime::Handle;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::config::Config;
+use crate::datagrams::Datagrams;
+use crate::payload::Answer;
+use crate::payload::Request;
+use crate::peers::PeerClients;
+use crate::streams::Order;
+use hawthornshift_core::Input;
+use hawthornshift_core::Node;
+use hawthornshift_core::Output;
+use hawthornshift_core::Timestamp;
+use hawthornshift_core::event::AnswerId;
+use hawthornshift_core::event::AnswerNote;
+use hawthornshift_core::event::PacketFate;
+use hawthornshift_core::event::Reply;
+use hawthornshift_core::event::RequestId;
+use hawthornshift_core::event::StreamId;
+use hawthornshift_core::message::Envelope;
+use hawthornshift_model::InstanceId;
+
+/// How a request ended, with the answer if there is one.
+#[derive(Debug)]
+pub struct Ending {
+    /// What the core said.
+    pub reply: Reply,
+    /// The answer it named.
+    pub answer: Option<Arc<Answer>>,
+}
+
+/// A request that the core has a part in.
+struct Pending {
+    request: Arc<Request>,
+    done: oneshot::Sender<Ending>,
+    /// The task that tries it at a target or instance now.
+    attempt: Option<AbortHandle>,
+}
+
+/// Numbers handed out by one engine.
+#[derive(Debug, Default)]
+struct Counters {
+    requests: AtomicU64,
+    answers: AtomicU64,
+    streams: AtomicU64,
+}
+
+/// One instance's core with everything that it acts through.
+pub struct Engine {
+    pub(crate) config: Config,
+    pub(crate) runtime: Handle,
+    pub(crate) stop: CancellationToken,
+    pub(crate) log: Logger,
+    pub(crate) datagrams: Datagrams,
+    pub(crate) peers: PeerClients,
+    /// Signalled when the set in force has changed.
+    pub(crate) catalog_changed: Notify,
+    /// Signalled when a planned stop is done or a newer life exists.
+    pub(crate) finished: CancellationToken,
+    epoch: Instant,
+    node: Mutex<Node>,
+    counters: Counters,
+    pending: Mutex<HashMap<RequestId, Pending>>,
+    answers: Mutex<HashMap<AnswerId, Arc<Answer>>>,
+    streams: RwLock<HashMap<StreamId, UnboundedSender<Order>>>,
+}
+
+/// Takes a lock; a panic of another holder leaves data that every decision checks anyway.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Engine {
+    pub(crate) fn new(config: Config, make_node: impl FnOnce(Timestamp) -> Node, datagrams: Datagrams) -> Arc<Self> {
+        let log = config.logger.new(slog::o!("instance" => config.id));
+        Arc::new(Self {
+            runtime: Handle::current(),
+            stop: CancellationToken::new(),
+            log,
+            datagrams,
+            peers: PeerClients::default(),
+            catalog_changed: Notify::new(),
+            finished: CancellationToken::new(),
+            epoch: Instant::now(),
+            node: Mutex::new(make_node(Timestamp::ZERO)),
+            counters: Counters::default(),
+            pending: Mutex::default(),
+            answers: Mutex::default(),
+            streams: RwLock::default(),
+            config,
+        })
+    }
+
+    /// Returns the present time on the clock that the core is fed with.
+    pub fn now(&self) -> Timestamp {
+        self.epoch.elapsed()
+    }
+
+    /// Gives read access to the core.
+    pub fn with_node<T>(&self, read: impl FnOnce(&Node) -> T) -> T {
+        read(&lock(&self.node))
+    }
+
+    /// Feeds an input and carries out what follows.
+    pub fn feed(self: &Arc<Self>, input: Input) {
+        self.feed_from(input, None);
+    }
+
+    /// Feeds an input and carries out what follows, but returns the messages that are for `sender`: they travel as
+    /// the answer to its own message.
+    pub fn feed_from(self: &Arc<Self>, input: Input, sender: Option<InstanceId>) -> Vec<Envelope> {
+        let mut out = Vec::new();
+        let mut back = Vec::new();
+        let mut node = lock(&self.node);
+        // Read under the lock, so that the core never sees time run backwards.
+        let now = self.now();
+        node.handle(now, input, &mut out);
+        for output in out {
+            match output {
+                Output::ToPeer { envelope, .. } if Some(envelope.to) == sender => back.push(*envelope),
+                output => self.carry_out(output),
+            }
+        }
+        drop(node);
+        back
+    }
+
+    /// Feeds a packet and returns what becomes of it.
+    pub fn feed_packet(self: &Arc<Self>, input: Input) -> Option<PacketFate> {
+        let mut out = Vec::with_capacity(1);
+        let mut node = lock(&self.node);
+        let now = self.now();
+        node.handle(now, input, &mut out);
+        let mut fate = None;
+        for output in out {
+            match output {
+                Output::Packet(decided) => fate = Some(decided),
+                output => self.carry_out(output),
+            }
+        }
+        drop(node);
+        fate
+    }
+
+    fn carry_out(self: &Arc<Self>, output: Output) {
+        match output {
+            Output::Packet(_) => {}
+            Output::ToPeer { address, envelope } => self.send_to_peer(address, *envelope),
+            Output::ReadPlatform(read) => {
+                let engine = Arc::clone(self);
+                self.spawn(async move { engine.read_platform(read).await });
+            }
+            Output::Probe { target, address } => {
+                let engine = Arc::clone(self);
+                self.spawn(async move { engine.probe(target, address).await });
+            }
+            Output::Pass { request, to, address, head } => {
+                let engine = Arc::clone(self);
+                self.attempt(request, |whole| async move { engine.pass(request, to, address, head, whole).await });
+            }
+            Output::Execute { request, attempt, address, time_left } => {
+                let engine = Arc::clone(self);
+                self.attempt(request, |whole| async move {
+                    engine.execute(request, attempt, address, time_left, whole).await;
+                });
+            }
+            Output::Cancel { request } => self.cancel(request),
+            Output::Reply { request, reply } => self.reply(request, reply),
+            Output::ForgetAnswer { answer } => {
+                lock(&self.answers).remove(&answer);
+            }
+            Output::ConnectStream { stream, address } => self.order(stream, Order::Connect(address)),
+            Output::CloseStream { stream } => self.order(stream, Order::Close),
+            Output::CatalogChanged => self.catalog_changed.notify_one(),
+            Output::Stopped => self.finished.cancel(),
+            Output::Superseded => {
+                warn!(self.log, "a newer process lives under this instance's id");
+                self.finished.cancel();
+            }
+            Output::Notice(notice) => {
+                let name: &str = (&notice).into();
+                info!(self.log, "{}", name; "detail" => serde_json::to_string(&notice).unwrap_or_default());
+            }
+        }
+    }
+
+    /// Runs a task until it ends or the instance does.
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
+        let stop = self.stop.clone();
+        let task = self.runtime.spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = task => {}
+            }
+        });
+        task.abort_handle()
+    }
+
+    fn send_to_peer(self: &Arc<Self>, address: SocketAddr, envelope: Envelope) {
+        let engine = Arc::clone(self);
+        self.spawn(async move { engine.exchange(address, envelope).await });
+    }
+
+    /// Starts the task that tries a request somewhere.
+    fn attempt<F, T>(&self, request: RequestId, task: F)
+    where
+        F: FnOnce(Arc<Request>) -> T,
+        T: Future<Output = ()> + Send + 'static,
+    {
+        let mut pending = lock(&self.pending);
+        let Some(entry) = pending.get_mut(&request) else { return };
+        let handle = self.spawn(task(Arc::clone(&entry.request)));
+        entry.attempt = Some(handle);
+    }
+
+    fn cancel(&self, request: RequestId) {
+        if let Some(attempt) = lock(&self.pending).get_mut(&request).and_then(|entry| entry.attempt.take()) {
+            attempt.abort();
+        }
+    }
+
+    fn reply(&self, request: RequestId, reply: Reply) {
+        let Some(entry) = lock(&self.pending).remove(&request) else { return };
+        let answer = match &reply {
+            Reply::Answer { answer, .. } => lock(&self.answers).get(answer).cloned(),
+            Reply::Refuse { .. } => None,
+        };
+        // Nobody waits any more when the caller has gone.
+        let _ = entry.done.send(Ending { reply, answer });
+    }
+
+    /// Takes a request in; what comes of it arrives on the returned channel.
+    pub(crate) fn admit(
+        self: &Arc<Self>,
+        request: Request,
+        input: impl FnOnce(RequestId) -> Input,
+    ) -> (RequestId, oneshot::Receiver<Ending>) {
+        let id = self.counters.requests.fetch_add(1, Ordering::Relaxed);
+        let (done, ending) = oneshot::channel();
+        let entry = Pending { request: Arc::new(request), done, attempt: None };
+        lock(&self.pending).insert(id, entry);
+        self.feed(input(id));
+        (id, ending)
+    }
+
+    /// Notes that nobody waits for a request any more.
+    pub(crate) fn abandon(self: &Arc<Self>, request: RequestId) {
+        self.feed(Input::CallerGone { request });
+    }
+
+    /// Keeps an answer until the core says that it can be forgotten.
+    pub(crate) fn keep_answer(&self, answer: Answer) -> AnswerNote {
+        let id = self.counters.answers.fetch_add(1, Ordering::Relaxed);
+        let size = answer.size();
+        lock(&self.answers).insert(id, Arc::new(answer));
+        AnswerNote { id, size }
+    }
+
+    /// Registers a stream whose task takes orders from the core.
+    pub(crate) fn register_stream(&self, orders: UnboundedSender<Order>) -> StreamId {
+        let id = self.counters.streams.fetch_add(1, Ordering::Relaxed);
+        self.streams.write().unwrap_or_else(PoisonError::into_inner).insert(id, orders);
+        id
+    }
+
+    /// Forgets a stream.
+    pub(crate) fn forget_stream(self: &Arc<Self>, stream: StreamId) {
+        self.streams.write().unwrap_or_else(PoisonError::into_inner).remove(&stream);
+        self.feed(Input::StreamClosed { stream });
+    }
+
+    fn order(&self, stream: StreamId, order: Order) {
+        let streams = self.streams.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(orders) = streams.get(&stream) {
+            // A stream that has just ended takes no more orders.
+            let _ = orders.send(order);
+        }
+    }
+
+    /// Feeds ticks until the instance ends.
+    pub(crate) async fn tick(self: Arc<Self>) {
+        let mut interval = tokio::time::interval(hawthornshift_core::node::TICK);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            self.feed(Input::Tick);
+        }
+    }
+}
+
+/// Time that a connection to a target or peer may take to come about.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/adapters/src/execute.rs
@@ -0,0 +1,80 @@
+//! One try of a request at a target.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::StatusCode;
+use tokio::time::timeout;
+
+use crate::engine::CONNECT_TIMEOUT;
+use crate::engine::Engine;
+use crate::http_client;
+use crate::http_client::ExchangeError;
+use crate::http_client::Response;
+use crate::payload::Answer;
+use crate::payload::MAX_BODY_BYTES;
+use crate::payload::Request;
+use crate::payload::TIMEOUT_HEADER;
+use crate::payload::VERDICT_HEADER;
+use hawthornshift_core::Input;
+use hawthornshift_core::attempt::Attempt;
+use hawthornshift_core::attempt::Unsent;
+use hawthornshift_core::event::AttemptNumber;
+use hawthornshift_core::event::RequestId;
+use hawthornshift_core::message::Reason;
+use hawthornshift_model::Verdict;
+
+impl Engine {
+    /// Sends a request to a target and feeds how it ended. Dropping the task closes the connection, which is how a
+    /// target learns that the request is cancelled.
+    pub(crate) async fn execute(
+        self: Arc<Self>,
+        request: RequestId,
+        number: AttemptNumber,
+        address: SocketAddr,
+        time_left: Duration,
+        whole: Arc<Request>,
+    ) {
+        let attempt = Attempt::new(request, number);
+        let input = self.try_target(attempt, address, time_left, &whole).await;
+        self.feed(input);
+    }
+
+    async fn try_target(
+        &self,
+        attempt: Attempt<Unsent>,
+        address: SocketAddr,
+        time_left: Duration,
+        whole: &Request,
+    ) -> Input {
+        let mut headers = whole.headers();
+        let millis = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(TIMEOUT_HEADER, HeaderValue::from(millis));
+        let Ok(message) = http_client::build(address, whole.method(), whole.path(), headers, whole.body().clone())
+        else {
+            return attempt.fail(Reason::RefusedByTarget);
+        };
+        let Ok(Ok(mut sender)) = timeout(CONNECT_TIMEOUT, http_client::connect(address)).await else {
+            return attempt.fail(Reason::ConnectionBroken);
+        };
+        let attempt = attempt.send();
+        match http_client::exchange(&mut sender, message, MAX_BODY_BYTES).await {
+            Ok(response) if refused_before_running(&response) => attempt.refused_by_target(),
+            Ok(response) => {
+                let answer = Answer::new(response.status, &response.headers, response.body);
+                attempt.answered(self.keep_answer(answer))
+            }
+            Err(ExchangeError::Incomplete(_)) => attempt.fail(Reason::AnswerIncomplete),
+            Err(_) => attempt.fail(Reason::ConnectionBroken),
+        }
+    }
+}
+
+/// Tells whether a target has said that it refused a request before running it. A bare 503 does not say that: it is
+/// an answer like any other.
+fn refused_before_running(response: &Response) -> bool {
+    let verdict = response.headers.get(VERDICT_HEADER).and_then(|value| value.to_str().ok());
+    response.status == StatusCode::SERVICE_UNAVAILABLE && verdict == Some(Verdict::NotRun.into())
+}
--- /dev/null
+++ b/crates/adapters/src/logs.rs
@@ -0,0 +1,69 @@
+//! Logs as JSON lines on standard error.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use slog::Drain;
+use slog::Level;
+use slog::Logger;
+use slog::OwnedKVList;
+use slog::Record;
+
+/// Records that may wait for a slow reader of the log before further ones are dropped and counted.
+const QUEUE: usize = 4_096;
+
+/// The level below which nothing is logged; it can be changed while the process runs.
+#[derive(Clone, Debug)]
+pub struct LevelSwitch(Arc<AtomicUsize>);
+
+impl Default for LevelSwitch {
+    fn default() -> Self {
+        Self::new(Level::Info)
+    }
+}
+
+impl LevelSwitch {
+    /// Starts at a level.
+    #[must_use]
+    pub fn new(level: Level) -> Self {
+        Self(Arc::new(AtomicUsize::new(level.as_usize())))
+    }
+
+    /// Changes the level.
+    pub fn set(&self, level: Level) {
+        self.0.store(level.as_usize(), Ordering::Relaxed);
+    }
+
+    fn allows(&self, level: Level) -> bool {
+        level.as_usize() <= self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Passes on what the switch allows.
+struct Switched<D> {
+    inner: D,
+    switch: LevelSwitch,
+}
+
+impl<D: Drain> Drain for Switched<D> {
+    type Ok = Option<D::Ok>;
+    type Err = D::Err;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<Self::Ok, Self::Err> {
+        if self.switch.allows(record.level()) { self.inner.log(record, values).map(Some) } else { Ok(None) }
+    }
+}
+
+/// Makes a logger that writes JSON lines to standard error.
+pub fn logger(switch: LevelSwitch) -> Logger {
+    let json = slog_json::Json::default(io::stderr()).fuse();
+    let queue = slog_async::Async::new(json).chan_size(QUEUE).build().fuse();
+    Logger::root(Switched { inner: queue, switch }.fuse(), slog::o!())
+}
+
+/// Makes a logger that writes nothing.
+pub fn silent() -> Logger {
+    Logger::root(slog::Discard, slog::o!())
+}
--- /dev/null
+++ b/crates/adapters/src/peers.rs
@@ -0,0 +1,257 @@
+//! Messages and passed requests between instances, over JSON-RPC.
+//!
+//! A message is a call of `exchange`; what the receiver has to say to the sender at once comes back as its result. A
+//! passed request is a call of `pass`, which lasts until the request has ended.
+
+use std::collections::HashMap;
+use std::error::Error as StdError;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use jsonrpsee::core::ClientError;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use jsonrpsee::http_client::HttpClient;
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::server::Server;
+use jsonrpsee::server::ServerConfig;
+use jsonrpsee::server::ServerHandle;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::TcpListener;
+
+use crate::engine::Engine;
+use crate::engine::lock;
+use crate::payload::Answer;
+use crate::payload::MAX_BODY_BYTES;
+use crate::payload::Request;
+use hawthornshift_core::Input;
+use hawthornshift_core::event::Reply;
+use hawthornshift_core::event::RequestId;
+use hawthornshift_core::message::Envelope;
+use hawthornshift_core::message::MemberUpdate;
+use hawthornshift_core::message::PassHead;
+use hawthornshift_core::message::Reason;
+use hawthornshift_core::message::Refusal;
+use hawthornshift_model::InstanceId;
+use hawthornshift_model::Verdict;
+
+/// Longest time a message may take; it is shorter than a period of heartbeats needs to be noticed.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time a passed request may take; its own deadline ends it long before.
+const PASS_TIMEOUT: Duration = Duration::from_hours(24);
+/// Time between two tries to reach the peers named in the settings.
+const GREETING_PERIOD: Duration = Duration::from_secs(1);
+/// Most bytes of one call: a body in base64 with its headers.
+const MAX_CALL_BYTES: u32 = 4 << 20;
+/// Most connections of peers at once.
+const MAX_CONNECTIONS: u32 = 4_096;
+
+/// A request passed to another instance.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PassCall {
+    from: InstanceId,
+    to: InstanceId,
+    head: PassHead,
+    request: Request,
+}
+
+/// How a passed request ended.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PassResult {
+    outcome: PassOutcome,
+    free: Option<u32>,
+}
+
+/// With an answer or without.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub enum PassOutcome {
+    /// The target's answer.
+    Answered(Answer),
+    /// Why there is none.
+    Refused(Refusal),
+}
+
+/// What instances call on each other.
+#[rpc(server, client, namespace = "peer")]
+pub trait Peer {
+    /// Says who the receiver is.
+    #[method(name = "introduce")]
+    async fn introduce(&self) -> RpcResult<MemberUpdate>;
+
+    /// Delivers a message; returns what the receiver says to the sender at once.
+    #[method(name = "exchange")]
+    async fn exchange(&self, envelope: Envelope) -> RpcResult<Vec<Envelope>>;
+
+    /// Passes a request; returns when it has ended.
+    #[method(name = "pass")]
+    async fn pass(&self, call: PassCall) -> RpcResult<PassResult>;
+}
+
+struct PeerService {
+    engine: Arc<Engine>,
+}
+
+#[async_trait]
+impl PeerServer for PeerService {
+    async fn introduce(&self) -> RpcResult<MemberUpdate> {
+        Ok(self.engine.with_node(|node| node.me().clone()))
+    }
+
+    async fn exchange(&self, envelope: Envelope) -> RpcResult<Vec<Envelope>> {
+        let sender = envelope.sender.id;
+        Ok(self.engine.feed_from(Input::PeerMessage(Box::new(envelope)), Some(sender)))
+    }
+
+    async fn pass(&self, call: PassCall) -> RpcResult<PassResult> {
+        let refused =
+            |verdict, reason| PassResult { outcome: PassOutcome::Refused(Refusal { verdict, reason }), free: None };
+        if call.to != self.engine.config.id {
+            // Another instance lives here now. It has run nothing of this request.
+            return Ok(refused(Verdict::NotRun, Reason::ConnectionBroken));
+        }
+        let PassCall { from, head, request, .. } = call;
+        let (_, ending) = self.engine.admit(request, |request| Input::PassArrived { request, from, head });
+        let Ok(ending) = ending.await else {
+            return Ok(refused(Verdict::MayHaveRun, Reason::Stopping));
+        };
+        Ok(match (ending.reply, ending.answer) {
+            (Reply::Answer { free, .. }, Some(answer)) => {
+                PassResult { outcome: PassOutcome::Answered(answer.as_ref().clone()), free }
+            }
+            (Reply::Answer { .. }, None) => refused(Verdict::MayHaveRun, Reason::AnswerGone),
+            (Reply::Refuse { refusal, free, .. }, _) => PassResult { outcome: PassOutcome::Refused(refusal), free },
+        })
+    }
+}
+
+/// Starts to answer peers on a listener.
+pub(crate) fn serve(engine: Arc<Engine>, listener: TcpListener) -> std::io::Result<ServerHandle> {
+    let config = ServerConfig::builder()
+        .http_only()
+        .max_request_body_size(MAX_CALL_BYTES)
+        .max_response_body_size(MAX_CALL_BYTES)
+        .max_connections(MAX_CONNECTIONS)
+        .set_tcp_no_delay(true)
+        .build();
+    let server = Server::builder().set_config(config).build_from_tcp(listener.into_std()?)?;
+    Ok(server.start(PeerService { engine }.into_rpc()))
+}
+
+/// Clients of other instances, made when they are first called.
+#[derive(Debug, Default)]
+pub struct PeerClients {
+    clients: Mutex<HashMap<(SocketAddr, Duration), HttpClient>>,
+}
+
+impl PeerClients {
+    fn get(&self, address: SocketAddr, timeout: Duration) -> Result<HttpClient, ClientError> {
+        let mut clients = lock(&self.clients);
+        if let Some(client) = clients.get(&(address, timeout)) {
+            return Ok(client.clone());
+        }
+        let client = HttpClientBuilder::new()
+            .max_request_size(MAX_CALL_BYTES)
+            .max_response_size(MAX_CALL_BYTES)
+            .request_timeout(timeout)
+            .connect_timeout(crate::engine::CONNECT_TIMEOUT)
+            .set_tcp_no_delay(true)
+            .build(format!("http://{address}"))?;
+        clients.insert((address, timeout), client.clone());
+        Ok(client)
+    }
+}
+
+impl Engine {
+    /// Sends a message and feeds what comes back.
+    pub(crate) async fn exchange(self: Arc<Self>, address: SocketAddr, envelope: Envelope) {
+        let to = envelope.to;
+        let answers = match self.peers.get(address, EXCHANGE_TIMEOUT) {
+            Ok(client) => PeerClient::exchange(&client, envelope).await,
+            Err(error) => Err(error),
+        };
+        match answers {
+            Ok(answers) => {
+                for answer in answers {
+                    self.feed(Input::PeerMessage(Box::new(answer)));
+                }
+            }
+            Err(_) => self.feed(Input::PeerUnreachable { to }),
+        }
+    }
+
+    /// Asks the peers named in the settings who they are, until each has said so.
+    ///
+    /// It is how an instance finds the others while the platform cannot be reached.
+    pub(crate) async fn greet_peers(self: Arc<Self>) {
+        let mut unknown = self.config.peers.clone();
+        unknown.retain(|address| *address != self.config.control);
+        while !unknown.is_empty() {
+            let mut silent = Vec::new();
+            for address in unknown {
+                match self.introduction(address).await {
+                    Ok(update) => self.feed(Input::PeerIntroduced(Box::new(update))),
+                    Err(_) => silent.push(address),
+                }
+            }
+            unknown = silent;
+            tokio::time::sleep(GREETING_PERIOD).await;
+        }
+    }
+
+    async fn introduction(&self, address: SocketAddr) -> Result<MemberUpdate, ClientError> {
+        let client = self.peers.get(address, EXCHANGE_TIMEOUT)?;
+        PeerClient::introduce(&client).await
+    }
+
+    /// Passes a request and feeds how it ended.
+    pub(crate) async fn pass(
+        self: Arc<Self>,
+        request: RequestId,
+        to: InstanceId,
+        address: SocketAddr,
+        head: PassHead,
+        whole: Arc<Request>,
+    ) {
+        let call = PassCall { from: self.config.id, to, head, request: whole.as_ref().clone() };
+        let result = match self.peers.get(address, PASS_TIMEOUT) {
+            Ok(client) => PeerClient::pass(&client, call).await,
+            Err(error) => Err(error),
+        };
+        let input = match result {
+            Ok(PassResult { outcome, free }) => {
+                let result = match outcome {
+                    PassOutcome::Answered(answer) => Ok(self.keep_answer(answer)),
+                    PassOutcome::Refused(refusal) => Err(refusal),
+                };
+                Input::PassEnded { request, result, free }
+            }
+            Err(error) => Input::PassFailed { request, verdict: verdict(&error) },
+        };
+        self.feed(input);
+    }
+}
+
+/// Tells from a failed call whether the other instance may have got it.
+fn verdict(error: &ClientError) -> Verdict {
+    let mut source: Option<&(dyn StdError + 'static)> = match error {
+        ClientError::Transport(error) => Some(error.as_ref()),
+        _ => None,
+    };
+    while let Some(error) = source {
+        if let Some(error) = error.downcast_ref::<hyper_util::client::legacy::Error>() {
+            return if error.is_connect() { Verdict::NotRun } else { Verdict::MayHaveRun };
+        }
+        source = error.source();
+    }
+    Verdict::MayHaveRun
+}
+
+/// Whether a body of the largest size, in base64 with room for its headers, fits one call.
+const _: () = assert!(MAX_BODY_BYTES / 3 * 4 + (1 << 20) < MAX_CALL_BYTES as usize);
--- /dev/null
+++ b/crates/adapters/src/platform.rs
@@ -0,0 +1,75 @@
+//! Reads of the platform: a small published interface over HTTP.
+//!
+//! `GET /v1/set?after=REVISION&wait_ms=MILLISECONDS` answers 200 with the published set in JSON when its revision is
+//! not the one named, and 304 when there is nothing newer within the wait. `GET /v1/instances` does the same for the
+//! list of instances and its version. Nothing is ever written.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use slog::warn;
+use thiserror::Error;
+
+use crate::engine::Engine;
+use crate::http_client::Call;
+use crate::http_client::ExchangeError;
+use crate::http_client::Response;
+use hawthornshift_core::Input;
+use hawthornshift_core::event::PlatformRead;
+use hawthornshift_core::event::Resource;
+use hawthornshift_model::CheckedSet;
+use hawthornshift_model::check::CheckError;
+use hawthornshift_model::check::MAX_SET_BYTES;
+
+/// Time that an answer may take beyond the wait asked for.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// A read that brought nothing usable.
+#[derive(Debug, Error)]
+enum ReadError {
+    #[error(transparent)]
+    Exchange(#[from] ExchangeError),
+    #[error("the platform answered {0}")]
+    Status(StatusCode),
+    #[error(transparent)]
+    Set(#[from] CheckError),
+    #[error("the list of instances cannot be read: {0}")]
+    List(#[from] serde_json::Error),
+}
+
+impl Engine {
+    /// Reads the platform and feeds what it said.
+    pub(crate) async fn read_platform(self: Arc<Self>, read: PlatformRead) {
+        match self.try_platform(read).await {
+            Ok(input) => self.feed(input),
+            Err(error) => {
+                let resource: &str = read.resource.into();
+                warn!(self.log, "platform read failed"; "resource" => resource, "error" => error.to_string());
+                self.feed(Input::PlatformFailed(read.resource));
+            }
+        }
+    }
+
+    async fn try_platform(&self, read: PlatformRead) -> Result<Input, ReadError> {
+        let resource: &str = read.resource.into();
+        let path = format!("/v1/{resource}?after={}&wait_ms={}", read.after, read.wait.as_millis());
+        let call = Call::get(self.config.platform, path, read.wait + PATIENCE, MAX_SET_BYTES);
+        let response = call.send().await?;
+        match response.status {
+            StatusCode::OK => parse(read.resource, &response),
+            StatusCode::NOT_MODIFIED => Ok(match read.resource {
+                Resource::Set => Input::SetUnchanged,
+                Resource::Instances => Input::InstancesUnchanged,
+            }),
+            status => Err(ReadError::Status(status)),
+        }
+    }
+}
+
+fn parse(resource: Resource, response: &Response) -> Result<Input, ReadError> {
+    Ok(match resource {
+        Resource::Set => Input::SetRead(Arc::new(CheckedSet::from_json(&response.body)?)),
+        Resource::Instances => Input::InstancesRead(serde_json::from_slice(&response.body)?),
+    })
+}
--- /dev/null
+++ b/crates/adapters/src/streams.rs
@@ -0,0 +1,84 @@
+//! TCP streams between callers and targets.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::engine::CONNECT_TIMEOUT;
+use crate::engine::Engine;
+use hawthornshift_core::Input;
+use hawthornshift_model::ServiceId;
+
+/// What the core orders a stream to do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// Connect to a target.
+    Connect(SocketAddr),
+    /// End.
+    Close,
+}
+
+impl Engine {
+    /// Accepts a service's streams until `closing`; streams that were accepted go on.
+    pub(crate) async fn serve_streams(
+        self: Arc<Self>,
+        service: ServiceId,
+        listener: TcpListener,
+        closing: CancellationToken,
+    ) {
+        loop {
+            let accepted = tokio::select! {
+                () = closing.cancelled() => return,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, caller)) = accepted else { continue };
+            let engine = Arc::clone(&self);
+            self.spawn(async move { engine.relay(service, stream, caller).await });
+        }
+    }
+
+    async fn relay(self: Arc<Self>, service: ServiceId, mut caller_side: TcpStream, caller: SocketAddr) {
+        let (orders_tx, mut orders) = mpsc::unbounded_channel();
+        let stream = self.register_stream(orders_tx);
+        self.feed(Input::StreamOpened { stream, service, caller });
+        let target_side = loop {
+            match orders.recv().await {
+                Some(Order::Connect(address)) => match connect(address).await {
+                    Ok(target_side) => break Some(target_side),
+                    Err(_) => self.feed(Input::StreamRefused { stream }),
+                },
+                Some(Order::Close) | None => break None,
+            }
+        };
+        if let Some(mut target_side) = target_side {
+            tokio::select! {
+                _ = tokio::io::copy_bidirectional(&mut caller_side, &mut target_side) => {}
+                () = closed(&mut orders) => {}
+            }
+        }
+        self.forget_stream(stream);
+    }
+}
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Waits until the core orders the stream to end.
+async fn closed(orders: &mut UnboundedReceiver<Order>) {
+    while let Some(order) = orders.recv().await {
+        if order == Order::Close {
+            return;
+        }
+    }
+    std::future::pending::<()>().await;
+}
--- /dev/null
+++ b/crates/adapters/src/web.rs
@@ -0,0 +1,147 @@
+//! HTTP servers on `xitca-web`: one handler for every path, bodies held whole within a limit.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::Method;
+use http::StatusCode;
+use tokio::task::JoinHandle;
+use xitca_web::App;
+use xitca_web::WebContext;
+use xitca_web::body::BodyExt;
+use xitca_web::body::RequestBody;
+use xitca_web::body::ResponseBody;
+use xitca_web::error::Error;
+use xitca_web::http::WebResponse;
+use xitca_web::service::fn_service;
+
+/// Time in which a caller must have sent the head of its request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time in which a caller must have sent the body of its request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for which an idle connection is kept.
+const KEEP_ALIVE: Duration = Duration::from_mins(1);
+/// Most bytes of a request's head.
+const HEAD_BYTES: usize = 64 << 10;
+/// Most headers of a request.
+const HEADERS: usize = 100;
+
+/// A request, whole.
+#[derive(Clone, Debug)]
+pub struct WebRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// An answer, whole.
+#[derive(Clone, Debug)]
+pub struct WebAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What answers the requests of one server.
+pub trait Handler: Send + Sync + 'static {
+    /// Most bytes of a request's body.
+    const BODY_LIMIT: usize;
+
+    /// Answers a request.
+    fn answer(&self, request: WebRequest) -> impl Future<Output = WebAnswer>;
+
+    /// Answers a request that could not be read.
+    fn unreadable(&self, status: StatusCode, reason: &str) -> WebAnswer;
+}
+
+/// A running server.
+pub struct WebServer {
+    /// Ends the server; the argument says whether connections are waited for.
+    stop: Box<dyn Fn(bool) + Send + Sync>,
+    done: JoinHandle<()>,
+}
+
+impl WebServer {
+    /// Starts a server on a listener.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system refuses the threads or the listener.
+    pub fn start<H: Handler>(listener: TcpListener, handler: H) -> io::Result<Self> {
+        listener.set_nonblocking(true)?;
+        let mut server = App::new()
+            .with_state(Arc::new(handler))
+            .at("/", fn_service(serve::<H>))
+            .at("/{*path}", fn_service(serve::<H>))
+            .serve()
+            .disable_signal()
+            .worker_threads(1)
+            .keep_alive_timeout(KEEP_ALIVE)
+            .request_head_timeout(HEAD_TIMEOUT)
+            .max_read_buf_size::<HEAD_BYTES>()
+            .max_request_headers::<HEADERS>()
+            .listen(listener)?
+            .run();
+        let handle = server.handle()?;
+        let done = tokio::task::spawn_blocking(move || {
+            let _ = server.wait();
+        });
+        Ok(Self { stop: Box::new(move |graceful| handle.stop(graceful)), done })
+    }
+
+    /// Ends the server; answers that are being written may be cut off, so it is stopped only when none is owed.
+    pub async fn stop(self) {
+        (self.stop)(false);
+        let _ = self.done.await;
+    }
+}
+
+async fn serve<H: Handler>(mut cx: WebContext<'_, Arc<H>>) -> Result<WebResponse, Error> {
+    let handler = Arc::clone(cx.state());
+    let (head, extension) = cx.take_request().into_parts();
+    let (_, body) = extension.replace_body(());
+    let answer = match tokio::time::timeout(BODY_TIMEOUT, collect(body, H::BODY_LIMIT)).await {
+        Ok(Ok(body)) => {
+            let path = head.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string);
+            handler.answer(WebRequest { method: head.method, path, headers: head.headers, body }).await
+        }
+        Ok(Err(CollectError::TooLarge)) => handler.unreadable(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+        Ok(Err(CollectError::Broken)) => handler.unreadable(StatusCode::BAD_REQUEST, "the body is malformed"),
+        Err(_) => handler.unreadable(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
+    };
+    let mut response = WebResponse::new(ResponseBody::bytes(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    Ok(response)
+}
+
+enum CollectError {
+    TooLarge,
+    Broken,
+}
+
+async fn collect(body: RequestBody, limit: usize) -> Result<Bytes, CollectError> {
+    let mut body = std::pin::pin!(body);
+    let mut buf = BytesMut::new();
+    while let Some(chunk) = body.as_mut().data().await {
+        let chunk = chunk.map_err(|_| CollectError::Broken)?;
+        if buf.len() + chunk.len() > limit {
+            return Err(CollectError::TooLarge);
+        }
+        buf.extend_from_slice(&chunk);
+    }
+    Ok(buf.freeze())
+}
--- /dev/null
+++ b/crates/cli/src/ctl/output.rs
@@ -0,0 +1,28 @@
+//! Text for people or JSON for programs.
+
+use serde::Serialize;
+
+/// How results are printed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Output {
+    json: bool,
+}
+
+impl Output {
+    pub(super) fn new(json: bool) -> Self {
+        Self { json }
+    }
+
+    pub(super) fn is_json(self) -> bool {
+        self.json
+    }
+
+    /// Prints a result as JSON, or calls `text` to print it for people.
+    pub(super) fn print<T: Serialize>(self, result: &T, text: impl FnOnce(&T)) {
+        if self.json {
+            println!("{}", serde_json::to_string(result).unwrap_or_default());
+        } else {
+            text(result);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/instance.rs
@@ -0,0 +1,102 @@
+//! The process of one instance.
+
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use slog::error;
+use slog::info;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::exit::Exit;
+use crate::settings;
+use crate::settings::Environment;
+use crate::settings::Request;
+use crate::settings::Settings;
+use hawthornshift_adapters::Config;
+use hawthornshift_adapters::Instance;
+use hawthornshift_adapters::config::Addresses;
+use hawthornshift_adapters::instance::Serving;
+use hawthornshift_adapters::logs;
+use hawthornshift_adapters::logs::LevelSwitch;
+use hawthornshift_model::Incarnation;
+
+/// Runs one instance until it is told to stop.
+#[must_use]
+pub fn run_instance(args: &[String], environment: &Environment) -> Exit {
+    match settings::read(args, environment) {
+        Ok(Request::Help(text)) => {
+            print!("{text}");
+            Exit::Good
+        }
+        Ok(Request::Version) => {
+            println!("hawthornshift {}", env!("CARGO_PKG_VERSION"));
+            Exit::Good
+        }
+        Ok(Request::Run(settings)) => run(*settings),
+        Err(faults) => {
+            eprint!("{faults}");
+            eprintln!("See hawthornshift --help.");
+            Exit::Usage
+        }
+    }
+}
+
+fn run(settings: Settings) -> Exit {
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start threads: {error}");
+            return Exit::CannotListen;
+        }
+    };
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Exit {
+    let level = LevelSwitch::new(settings.log_level);
+    let log = logs::logger(level.clone());
+    let addresses = Addresses { control: settings.control, forward: settings.forward, admin: settings.admin };
+    let config =
+        Config::new(settings.id, incarnation(), settings.failure_domain, addresses, settings.platform, log.clone())
+            .admin_token(settings.admin_token)
+            .listen(settings.listen)
+            .peers(settings.peers)
+            .tuning(settings.tuning)
+            .level(level);
+    let instance = match Instance::new(config).start().await {
+        Ok(instance) => instance,
+        Err(error) => {
+            error!(log, "cannot start"; "error" => error.to_string());
+            return Exit::CannotListen;
+        }
+    };
+    wait(&instance).await;
+    info!(log, "stopping as planned");
+    let stopped = instance.stop().await;
+    if stopped.dump().phase == "superseded" { Exit::Superseded } else { Exit::Good }
+}
+
+/// Waits for a signal, or for the instance to end by itself.
+async fn wait(instance: &Instance<Serving>) {
+    let terminate = async {
+        match signal(SignalKind::terminate()) {
+            Ok(mut signal) => {
+                signal.recv().await;
+            }
+            Err(_) => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        () = terminate => {}
+        _ = tokio::signal::ctrl_c() => {}
+        () = instance.finished() => {}
+    }
+}
+
+/// Returns the number of this life: later lives have higher ones as long as the machine's clock is not set back by
+/// more than the time between them.
+fn incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation::try_from(since_epoch.as_millis()).unwrap_or(Incarnation::MAX)
+}
--- /dev/null
+++ b/crates/core/benches/decisions.rs
@@ -0,0 +1,3 @@
+//! Speed of the decisions that every packet and change needs.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/flows/mod.rs
@@ -0,0 +1,506 @@
+//! Datagram flows: which instance holds a flow, and which target it goes to.
+//!
+//! The fabric hands a packet to any instance. That instance computes the flow's *home* under its view and forwards
+//! the packet there; the home holds the record of the flow and the local port towards the target.
+//!
+//! # Why a flow stays where it is
+//!
+//! A target tells a flow by the address it comes from. Moving a record to another instance changes that address, and
+//! many targets would take the flow for a new one. So a home keeps its flows when a view changes and only tells the
+//! new home where they are ([`telling`]); it hands them over only when it stops or its domain is taken out.
+//!
+//! # How packets find a flow while news travels
+//!
+//! Until the earlier homes have told everything, the new home asks them ([`chain`]): an unknown flow's packet goes to
+//! the home under each earlier view in turn, which either serves it or returns it. Only when all have returned it does
+//! the home take it for a new flow. Every forwarding lowers the packet's hops, so that no pair of views can loop; a
+//! packet out of hops whose flow is unknown starts a flow where it is, and that flow is told to its home like any
+//! other.
+
+pub mod chain;
+pub mod table;
+pub mod telling;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::Serialize;
+
+use self::chain::Chain;
+use self::table::FlowTable;
+use self::table::Holder;
+use self::table::SeatIndex;
+use self::telling::Telling;
+use crate::Timestamp;
+use crate::catalog::Catalog;
+use crate::catalog::ServiceEntry;
+use crate::catalog::TargetEntry;
+use crate::event::Channel;
+use crate::event::DropReason;
+use crate::event::PacketFate;
+use crate::health::HealthBook;
+use crate::health::TargetStatus;
+use crate::invariants::Invariant;
+use crate::invariants::Ledger;
+use crate::membership::Membership;
+use crate::message::FlowBatch;
+use crate::message::ForwardHead;
+use crate::message::Purpose;
+use crate::message::TargetNote;
+use crate::ramp::Ramp;
+use crate::rendezvous;
+use crate::tuning::Tuning;
+use crate::view::View;
+use hawthornshift_model::FlowKey;
+use hawthornshift_model::InstanceId;
+use hawthornshift_model::TargetId;
+
+/// Hops a packet may take: to the home, to and from each earlier home, and to a holder.
+pub const MAX_HOPS: u8 = 10;
+/// Time after which nothing goes to an instance whose failure domain is out.
+const OUT_GRACE: Timestamp = Timestamp::from_secs(2);
+
+/// What the flow decisions look at besides their own state.
+#[derive(Clone, Copy)]
+pub struct Surroundings<'a> {
+    /// The view in force.
+    pub view: &'a View,
+    /// The other instances.
+    pub members: &'a Membership,
+    /// News of targets.
+    pub health: &'a HealthBook,
+    /// When the set in force was adopted.
+    pub adopted_at: Timestamp,
+    /// Whether this instance may start new flows.
+    pub fenced: bool,
+}
+
+/// Counts of what became of flows and packets.
+#[derive(Clone, Debug, Default, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FlowCounts {
+    /// Flows started here.
+    pub opened: u64,
+    /// Flows given up because their failure domain was taken out.
+    pub given_up: u64,
+    /// Flows forgotten because they were silent.
+    pub expired: u64,
+    /// Flows taken over from another instance.
+    pub taken_over: u64,
+    /// Flows handed over to another instance.
+    pub handed_over: u64,
+    /// Flows told to their home but kept here.
+    pub told: u64,
+    /// Packets sent on to another instance.
+    pub forwarded: u64,
+    /// Packets sent to an earlier home.
+    pub asked: u64,
+    /// Flows that a second instance held too.
+    pub conflicts: u64,
+    /// Dropped packets by reason.
+    pub dropped: BTreeMap<DropReason, u64>,
+}
+
+/// How a packet came to this instance.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    from: Option<InstanceId>,
+    hops_left: u8,
+    purpose: Purpose,
+}
+
+/// All flows of one instance.
+#[derive(Clone, Debug)]
+pub struct Flows {
+    me: InstanceId,
+    table: FlowTable,
+    chain: Chain,
+    telling: Telling,
+    ramps: BTreeMap<TargetId, Ramp>,
+    counts: FlowCounts,
+}
+
+impl Flows {
+    /// Starts with no flow.
+    #[must_use]
+    pub fn new(me: InstanceId, tuning: &Tuning) -> Self {
+        Self {
+            me,
+            table: FlowTable::new(tuning.flow_capacity),
+            chain: Chain::new(tuning.view_memory),
+            telling: Telling::default(),
+            ramps: BTreeMap::new(),
+            counts: FlowCounts::default(),
+        }
+    }
+
+    /// Returns the flows held here.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.table.held()
+    }
+
+    /// Returns the flows known to be held elsewhere.
+    #[must_use]
+    pub fn elsewhere(&self) -> usize {
+        self.table.elsewhere()
+    }
+
+    /// Returns the earlier views that still matter.
+    #[must_use]
+    pub fn earlier_views(&self) -> usize {
+        self.chain.len()
+    }
+
+    /// Returns the counts since start.
+    #[must_use]
+    pub fn counts(&self) -> &FlowCounts {
+        &self.counts
+    }
+
+    /// Tells whether nothing is left to tell or hand over.
+    #[must_use]
+    pub fn settled(&self) -> bool {
+        self.telling.is_done()
+    }
+
+    /// Returns the flows held here that go to a target.
+    #[must_use]
+    pub fn held_for(&self, target: TargetId) -> u32 {
+        self.table.held_for(target)
+    }
+
+    /// Decides on a packet from a caller.
+    pub fn caller_packet(
+        &mut self,
+        now: Timestamp,
+        key: FlowKey,
+        cx: Surroundings<'_>,
+        ledger: &mut Ledger,
+    ) -> PacketFate {
+        let arrival = Arrival { from: None, hops_left: MAX_HOPS, purpose: Purpose::ToHome };
+        self.decide(now, key, arrival, cx, ledger)
+    }
+
+    /// Decides on a packet from another instance.
+    pub fn forwarded_packet(
+        &mut self,
+        now: Timestamp,
+        head: &ForwardHead,
+        cx: Surroundings<'_>,
+        ledger: &mut Ledger,
+    ) -> PacketFate {
+        ledger.assert(head.hops_left <= MAX_HOPS, Invariant::ForwardingEnds);
+        let key = FlowKey { service: head.service, caller: head.caller };
+        let arrival = Arrival { from: Some(head.from), hops_left: head.hops_left.min(MAX_HOPS), purpose: head.purpose };
+        self.decide(now, key, arrival, cx, ledger)
+    }
+
+    fn decide(
+        &mut self,
+        now: Timestamp,
+        key: FlowKey,
+        arrival: Arrival,
+        cx: Surroundings<'_>,
+        ledger: &mut Ledger,
+    ) -> PacketFate {
+        let Some(service) = cx.view.catalog().service(key.service) else {
+            return self.drop(DropReason::UnknownService);
+        };
+        match self.table.touch(now, &key) {
+            Some(Holder::Here { seat, channel }) => {
+                if let Some(fate) = self.send_held(now, key, seat, channel, cx, ledger) {
+                    return fate;
+                }
+            }
+            Some(Holder::Instance(holder)) => {
+                if let Some(fate) = self.send_to_holder(key, holder, arrival, cx, now) {
+                    return fate;
+                }
+            }
+            None => {}
+        }
+        if cx.fenced {
+            return self.drop(DropReason::Fenced);
+        }
+        self.decide_unknown(now, key, service, arrival, cx, ledger)
+    }
+
+    /// Sends a held flow's packet to its target, or gives the flow up when it may get no more.
+    fn send_held(
+        &mut self,
+        now: Timestamp,
+        key: FlowKey,
+        seat: SeatIndex,
+        channel: Channel,
+        cx: Surroundings<'_>,
+        ledger: &mut Ledger,
+    ) -> Option<PacketFate> {
+        let seat = self.table.seat(seat);
+        if seat.block().is_some() {
+            self.table.remove(now, &key);
+            self.counts.given_up += 1;
+            return None;
+        }
+        ledger.assert(seat.service() == key.service, Invariant::PacketStaysWithService);
+        debug_assert!(cx.view.catalog().domain_in_service(&seat.note().failure_domain));
+        Some(PacketFate::ToTarget { channel, target: seat.note().address })
+    }
+
+    /// Sends a packet on to the instance that holds its flow, or forgets a holder that is gone.
+    fn send_to_holder(
+        &mut self,
+        key: FlowKey,
+        holder: InstanceId,
+        arrival: Arrival,
+        cx: Surroundings<'_>,
+        now: Timestamp,
+    ) -> Option<PacketFate> {
+        let usable = may_get_packets(now, holder, cx) && arrival.hops_left > 0 && arrival.from != Some(holder);
+        if !usable {
+            self.table.remove(now, &key);
+            return None;
+        }
+        self.forward(key, holder, arrival, Purpose::ToHolder, cx)
+    }
+
+    /// Decides on a packet whose flow is not known here.
+    fn decide_unknown(
+        &mut self,
+        now: Timestamp,
+        key: FlowKey,
+        service: &ServiceEntry,
+        arrival: Arrival,
+        cx: Surroundings<'_>,
+        ledger: &mut Ledger,
+    ) -> PacketFate {
+        let hash = key.hash64();
+        if let (Purpose::Ask { position }, Some(asker)) = (arrival.purpose, arrival.from) {
+            let fate = self.forward(key, asker, arrival, Purpose::Return { position }, cx);
+            return fate.unwrap_or_else(|| self.drop(DropReason::TooManyHops));
+        }
+        let Some(home) = cx.view.home(hash, service) else {
+            return self.drop(DropReason::NoHome);
+        };
+        if home != self.me
+            && arrival.hops_left > 0
+            && !matches!(arrival.purpose, Purpose::Return { .. })
+            && let Some(fate) = self.forward(key, home, arrival, Purpose::ToHome, cx)
+        {
+            return fate;
+        }
+        let next = match arrival.purpose {
+            Purpose::Return { position } => position.saturating_add(1),
+            _ => 0,
+        };
+        if let Some(fate) = self.ask_earlier_home(now, key, hash, next, arrival, cx) {
+            return fate;
+        }
+        self.open(now, key, hash, service, cx, ledger)
+    }
+
+    /// Sends the packet of an unknown flow to the next earlier home that may hold it.
+    fn ask_earlier_home(
+        &mut self,
+        now: Timestamp,
+        key: FlowKey,
+        hash: u64,
+        next: u8,
+        arrival: Arrival,
+        cx: Surroundings<'_>,
+    ) -> Option<PacketFate> {
+        // The answer needs a hop of its own.
+        if arrival.hops_left < 2 {
+            return None;
+        }
+        let candidates = self.chain.candidates(key.service, hash, self.me, cx.view.digest());
+        let mut candidates = candidates.into_iter().enumerate().skip(next.into());
+        let (position, earlier) = candidates.find(|(_, earlier)| may_get_packets(now, *earlier, cx))?;
+        let position = u8::try_from(position).ok()?;
+        let fate = self.forward(key, earlier, arrival, Purpose::Ask { position }, cx)?;
+        self.counts.asked += 1;
+        Some(fate)
+    }
+
+    fn forward(
+        &mut self,
+        key: FlowKey,
+        to: InstanceId,
+        arrival: Arrival,
+        purpose: Purpose,
+        cx: Surroundings<'_>,
+    ) -> Option<PacketFate> {
+        let address = cx.members.member(to)?.forward;
+        let hops_left = arrival.hops_left.checked_sub(1)?;
+        self.counts.forwarded += 1;
+        let head = ForwardHead { from: self.me, service: key.service, caller: key.caller, hops_left, purpose };
+        Some(PacketFate::Forward { address, head })
+    }
+
+    /// Starts a flow here.
+    fn open(
+        &mut self,
+        now: Timestamp,
+        key: FlowKey,
+        hash: u64,
+        service: &ServiceEntry,
+        cx: Surroundings<'_>,
+        ledger: &mut Ledger,
+    ) -> PacketFate {
+        let Some(target) = self.choose_target(now, hash, service, cx) else {
+            return self.drop(DropReason::NoTarget);
+        };
+        ledger.assert(!target.leaving, Invariant::LeavingTargetGetsNothing);
+        ledger.assert(cx.view.catalog().domains()[target.domain].in_service, Invariant::OutDomainSilent);
+        let note = note(cx.view.catalog(), target);
+        let Some(channel) = self.table.insert_here(now, key, &note) else {
+            return self.drop(DropReason::TableFull);
+        };
+        self.counts.opened += 1;
+        self.note_stray(hash, service, cx);
+        PacketFate::ToTarget { channel, target: target.address }
+    }
+
+    /// Has a flow told to its home if that is another instance.
+    fn note_stray(&mut self, hash: u64, service: &ServiceEntry, cx: Surroundings<'_>) {
+        if cx.view.home(hash, service) != Some(self.me) {
+            self.telling.note_stray();
+        }
+    }
+
+    /// Chooses a new flow's target among those of its failure domain.
+    ///
+    /// The first choice is the plain hash, so that a crashed home's successor comes to the same target without a
+    /// message. A target that is cold, full, down or leaving is passed over for the next by rank.
+    fn choose_target<'a>(
+        &mut self,
+        now: Timestamp,
+        hash: u64,
+        service: &ServiceEntry,
+        cx: Surroundings<'a>,
+    ) -> Option<&'a TargetEntry> {
+        let catalog = cx.view.catalog();
+        let domain = catalog.domain_of(hash, service)?;
+        let members = &catalog.group(service.group).by_domain[domain];
+        let seats = u32::try_from(cx.view.seats(domain).len()).unwrap_or(1).max(1);
+        let targets = members.iter().filter_map(|id| catalog.target(*id)).filter(|target| !target.leaving);
+        let mut ranked: Vec<_> = targets.map(|target| (rendezvous::score(hash, target.id), target)).collect();
+        ranked.sort_unstable_by_key(|(score, target)| std::cmp::Reverse((*score, target.id)));
+        let free = ranked.iter().find(|(_, target)| self.takes_flow(now, target, seats, cx.health));
+        free.map(|(_, target)| *target)
+    }
+
+    /// Tells whether a target can take one more flow from this instance.
+    fn takes_flow(&mut self, now: Timestamp, target: &TargetEntry, seats: u32, health: &HealthBook) -> bool {
+        let share = (target.connections / seats).max(1);
+        let ramp = self.ramps.entry(target.id).or_insert_with(|| Ramp::warm(share));
+        ramp.resize(share);
+        match health.status(now, target.id) {
+            Some(TargetStatus::Down | TargetStatus::Leaving) => return false,
+            Some(TargetStatus::Cold) if ramp.is_warm() => ramp.restart(),
+            Some(TargetStatus::Cold) => {}
+            Some(TargetStatus::Warm) | None => *ramp = Ramp::warm(share),
+        }
+        let limit = ramp.limit();
+        self.held_for(target.id) < limit
+    }
+
+    /// Decides on a packet from a target.
+    pub fn target_packet(&mut self, now: Timestamp, target: SocketAddr, channel: Channel) -> PacketFate {
+        let Some((key, seat)) = self.table.find_by_channel(now, target, channel) else {
+            return self.drop(DropReason::NoFlow);
+        };
+        if seat.block().is_some() {
+            return self.drop(DropReason::DomainOut);
+        }
+        let id = seat.note().id;
+        if let Some(ramp) = self.ramps.get_mut(&id) {
+            ramp.prove(1);
+        }
+        PacketFate::ToCaller { service: key.service, caller: key.caller }
+    }
+
+    fn drop(&mut self, reason: DropReason) -> PacketFate {
+        *self.counts.dropped.entry(reason).or_default() += 1;
+        PacketFate::Drop(reason)
+    }
+
+    /// Takes note that the view has changed: the former one joins the chain, and all flows are looked at anew.
+    pub fn view_changed(&mut self, now: Timestamp, former: View, catalog: &Catalog) {
+        self.chain.remember(now, former);
+        self.table.revalidate(catalog);
+        self.telling.restart();
+    }
+
+    /// Takes note that an instance has told everything it had for this one under a view.
+    pub fn peer_settled(&mut self, from: InstanceId, view: u64) {
+        self.chain.settled(from, view);
+    }
+
+    /// Takes over a batch of flows, or notes where they are.
+    pub fn absorb(&mut self, now: Timestamp, from: InstanceId, batch: &FlowBatch, cx: Surroundings<'_>) {
+        let service = cx.view.catalog().service(batch.service);
+        for caller in &batch.callers {
+            let key = FlowKey { service: batch.service, caller: *caller };
+            let known = self.table.get(&key);
+            if let Some(Holder::Here { .. }) = known {
+                // Both serve the flow. Its packets come here from now on, so the record here holds.
+                self.counts.conflicts += 1;
+            } else if batch.handover {
+                if self.table.insert_here(now, key, &batch.target).is_some() {
+                    self.counts.taken_over += 1;
+                }
+                if let Some(service) = service {
+                    self.note_stray(key.hash64(), service, cx);
+                }
+            } else {
+                self.table.insert_elsewhere(now, key, from);
+            }
+        }
+        // A target taken over may be one that this instance's set has already closed.
+        self.table.revalidate(cx.view.catalog());
+    }
+
+    /// Notes that a batch has arrived; flows handed over are no longer held here.
+    pub fn batch_acknowledged(&mut self, now: Timestamp, sequence: u64) {
+        let Some(batch) = self.telling.acknowledged(sequence) else { return };
+        let count = u64::try_from(batch.callers.len()).unwrap_or(u64::MAX);
+        if !batch.handover {
+            self.counts.told += count;
+            return;
+        }
+        self.counts.handed_over += count;
+        for caller in &batch.callers {
+            self.table.give_away(now, &FlowKey { service: batch.service, caller: *caller });
+        }
+    }
+
+    /// Does what is due: expiry, telling and handing over. Returns batches to send and views that are settled.
+    pub fn tick(&mut self, now: Timestamp, cx: Surroundings<'_>) -> FlowNews {
+        let catalog = cx.view.catalog();
+        self.counts.expired += self.table.expire(now, |service| catalog.service(service).map(|entry| entry.idle));
+        self.chain.expire(now);
+        self.telling.tick(now, self.me, &self.table, cx)
+    }
+}
+
+/// What a tick wants sent.
+#[derive(Clone, Debug, Default)]
+pub struct FlowNews {
+    /// Batches, each with its addressee.
+    pub batches: Vec<(InstanceId, FlowBatch)>,
+    /// Instances that have been told everything under the present view.
+    pub settled: Vec<InstanceId>,
+}
+
+fn note(catalog: &Catalog, target: &TargetEntry) -> TargetNote {
+    TargetNote { id: target.id, address: target.address, failure_domain: catalog.domains()[target.domain].name.clone() }
+}
+
+/// Tells whether packets may be forwarded to an instance: it can be reached, and its failure domain is not out, or
+/// has been for so short a time that its flows may still be handed over.
+fn may_get_packets(now: Timestamp, id: InstanceId, cx: Surroundings<'_>) -> bool {
+    let Some(update) = cx.members.member(id).filter(|update| update.state.is_reachable()) else { return false };
+    let in_service = cx.view.catalog().domain_in_service(&update.failure_domain);
+    in_service || now.saturating_sub(cx.adopted_at) < OUT_GRACE
+}
--- /dev/null
+++ b/crates/core/src/flows/table.rs
@@ -0,0 +1,429 @@
+//! The table of flows: records in a slab, an index by key, and for each target the channels in use.
+//!
+//! Records are small and fixed, so that a table of hundreds of thousands stays within an instance's memory. Expiry
+//! walks the slab a slice at a time; no packet ever waits for a full pass.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hashbrown::HashTable;
+
+use crate::Timestamp;
+use crate::catalog::Catalog;
+use crate::event::Channel;
+use crate::message::TargetNote;
+use hawthornshift_model::FlowKey;
+use hawthornshift_model::InstanceId;
+use hawthornshift_model::ServiceId;
+use hawthornshift_model::TargetId;
+
+/// Position of a target in the table.
+pub type SeatIndex = u32;
+
+/// Position of a record in the slab.
+type SlotIndex = u32;
+
+/// Time for which a channel rests after its flow has ended. A late packet of the target would otherwise reach the
+/// caller of the next flow on that channel.
+const CHANNEL_REST: Duration = Duration::from_mins(1);
+/// Time for which answers to a flow that was handed over are still passed on.
+const REPLY_TAIL: Duration = Duration::from_secs(30);
+/// Part of the slab that one expiry step walks.
+const EXPIRY_SLICES: usize = 50;
+/// Idle time of flows whose service the set no longer names.
+const ORPHAN_IDLE: Duration = Duration::from_mins(1);
+/// Most channels of one target at one instance.
+const MAX_CHANNELS: usize = 60_000;
+
+/// Who holds a flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Holder {
+    /// This instance.
+    Here {
+        /// The target.
+        seat: SeatIndex,
+        /// The local port used towards it.
+        channel: Channel,
+    },
+    /// Another instance, which has told so.
+    Instance(InstanceId),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum State {
+    Vacant,
+    Here {
+        seat: SeatIndex,
+        channel: Channel,
+    },
+    Elsewhere {
+        holder: InstanceId,
+    },
+    /// Handed over; only answers of the target still pass.
+    GivenAway {
+        seat: SeatIndex,
+        channel: Channel,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    key: FlowKey,
+    state: State,
+    /// Last packet, in milliseconds on the process's clock, which wraps after 49 days.
+    touched: u32,
+}
+
+/// Why a target's flows may get no more packets.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Block {
+    /// Its failure domain is out.
+    DomainOut,
+    /// Its address now belongs to another target or serves another service.
+    Replaced,
+}
+
+/// A target as the flows of one service use it.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    note: TargetNote,
+    service: ServiceId,
+    ports: usize,
+    live: u32,
+    block: Option<Block>,
+}
+
+impl Seat {
+    /// Returns the target.
+    #[must_use]
+    pub fn note(&self) -> &TargetNote {
+        &self.note
+    }
+
+    /// Returns the service whose flows go here.
+    #[must_use]
+    pub fn service(&self) -> ServiceId {
+        self.service
+    }
+
+    /// Returns why the flows may get no more packets, if they may not.
+    #[must_use]
+    pub fn block(&self) -> Option<Block> {
+        self.block
+    }
+
+    /// A target that the set no longer names keeps its flows until they end: it was removed as planned. One whose
+    /// address or group now serves others loses them, since their packets would reach a service not their own.
+    fn find_block(&self, catalog: &Catalog) -> Option<Block> {
+        if !catalog.domain_in_service(&self.note.failure_domain) {
+            return Some(Block::DomainOut);
+        }
+        let owner = catalog.target_at(self.note.address)?;
+        let group = catalog.target(owner).map(|target| target.group);
+        let own = catalog.service(self.service).map(|service| service.group);
+        let serves_others =
+            catalog.services().any(|service| Some(service.group) == group && service.id != self.service);
+        let replaced = owner != self.note.id || (own != group && serves_others);
+        replaced.then_some(Block::Replaced)
+    }
+}
+
+/// The channels in use towards one address.
+///
+/// They are counted by address and not by target, because a packet that comes back tells no more than the address.
+#[derive(Clone, Debug, Default)]
+struct Ports {
+    slots: Vec<Option<SlotIndex>>,
+    resting: VecDeque<(Channel, Timestamp)>,
+}
+
+impl Ports {
+    fn take(&mut self, now: Timestamp, slot: SlotIndex) -> Option<Channel> {
+        let rested = |(_, since): &mut (Channel, Timestamp)| now.saturating_sub(*since) >= CHANNEL_REST;
+        if let Some((channel, _)) = self.resting.pop_front_if(rested) {
+            self.slots[usize::from(channel)] = Some(slot);
+            return Some(channel);
+        }
+        if self.slots.len() >= MAX_CHANNELS {
+            return None;
+        }
+        let channel = Channel::try_from(self.slots.len()).ok()?;
+        self.slots.push(Some(slot));
+        Some(channel)
+    }
+
+    fn rest(&mut self, now: Timestamp, channel: Channel) {
+        self.slots[usize::from(channel)] = None;
+        self.resting.push_back((channel, now));
+    }
+}
+
+/// The flows that one instance knows of.
+#[derive(Clone, Debug)]
+pub struct FlowTable {
+    records: Vec<Record>,
+    vacant: Vec<SlotIndex>,
+    index: HashTable<SlotIndex>,
+    seats: Vec<Seat>,
+    by_pair: HashMap<(ServiceId, TargetId), SeatIndex>,
+    by_target: HashMap<TargetId, Vec<SeatIndex>>,
+    ports: Vec<Ports>,
+    by_address: HashMap<SocketAddr, usize>,
+    capacity: usize,
+    held: usize,
+    elsewhere: usize,
+    cursor: usize,
+}
+
+impl FlowTable {
+    /// Makes a table for at most `capacity` flows.
+    #[must_use]
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            records: Vec::new(),
+            vacant: Vec::new(),
+            index: HashTable::new(),
+            seats: Vec::new(),
+            by_pair: HashMap::new(),
+            by_target: HashMap::new(),
+            ports: Vec::new(),
+            by_address: HashMap::new(),
+            capacity,
+            held: 0,
+            elsewhere: 0,
+            cursor: 0,
+        }
+    }
+
+    /// Returns the flows held here.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Returns the flows known to be held elsewhere.
+    #[must_use]
+    pub fn elsewhere(&self) -> usize {
+        self.elsewhere
+    }
+
+    /// Returns the length of the slab, an upper bound for walks over it.
+    #[must_use]
+    pub fn span(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns a target.
+    #[must_use]
+    pub fn seat(&self, index: SeatIndex) -> &Seat {
+        &self.seats[index as usize]
+    }
+
+    /// Returns the flows held here that go to a target.
+    #[must_use]
+    pub fn held_for(&self, target: TargetId) -> u32 {
+        let seats = self.by_target.get(&target).into_iter().flatten();
+        seats.map(|seat| self.seat(*seat).live).sum()
+    }
+
+    /// Looks at every target anew, since the set in force has changed.
+    pub fn revalidate(&mut self, catalog: &Catalog) {
+        for seat in &mut self.seats {
+            seat.block = seat.find_block(catalog);
+        }
+    }
+
+    /// Returns the flow held here at a position of the slab.
+    #[must_use]
+    pub fn held_at(&self, position: usize) -> Option<(FlowKey, SeatIndex)> {
+        let record = self.records.get(position)?;
+        match record.state {
+            State::Here { seat, .. } => Some((record.key, seat)),
+            _ => None,
+        }
+    }
+
+    fn find(&self, key: &FlowKey) -> Option<SlotIndex> {
+        self.index.find(key.hash64(), |slot| self.records[*slot as usize].key == *key).copied()
+    }
+
+    /// Returns who holds a flow.
+    #[must_use]
+    pub fn get(&self, key: &FlowKey) -> Option<Holder> {
+        holder(self.records[self.find(key)? as usize].state)
+    }
+
+    /// Returns who holds a flow and notes that it had a packet.
+    pub fn touch(&mut self, now: Timestamp, key: &FlowKey) -> Option<Holder> {
+        let slot = self.find(key)?;
+        let record = &mut self.records[slot as usize];
+        let holder = holder(record.state)?;
+        record.touched = stamp(now);
+        Some(holder)
+    }
+
+    /// Adds a flow held here; returns its channel, or none when the table or the target has no room.
+    pub fn insert_here(&mut self, now: Timestamp, key: FlowKey, note: &TargetNote) -> Option<Channel> {
+        // Someone else's hold, or the tail of a hold given away, ends here.
+        self.remove(now, &key);
+        let slot = self.take_slot(now, key)?;
+        let seat = self.intern(key.service, note);
+        let ports = self.seats[seat as usize].ports;
+        let Some(channel) = self.ports[ports].take(now, slot) else {
+            self.vacant.push(slot);
+            return None;
+        };
+        self.seats[seat as usize].live += 1;
+        self.records[slot as usize].state = State::Here { seat, channel };
+        self.held += 1;
+        self.link(&key, slot);
+        Some(channel)
+    }
+
+    /// Notes that another instance holds a flow; without room the note is dropped, and the chain still finds it.
+    pub fn insert_elsewhere(&mut self, now: Timestamp, key: FlowKey, holder: InstanceId) {
+        self.remove(now, &key);
+        let Some(slot) = self.take_slot(now, key) else { return };
+        self.records[slot as usize].state = State::Elsewhere { holder };
+        self.elsewhere += 1;
+        self.link(&key, slot);
+    }
+
+    fn take_slot(&mut self, now: Timestamp, key: FlowKey) -> Option<SlotIndex> {
+        let record = Record { key, state: State::Vacant, touched: stamp(now) };
+        if let Some(slot) = self.vacant.pop() {
+            self.records[slot as usize] = record;
+            return Some(slot);
+        }
+        if self.records.len() >= self.capacity {
+            return None;
+        }
+        let slot = SlotIndex::try_from(self.records.len()).ok()?;
+        self.records.push(record);
+        Some(slot)
+    }
+
+    fn link(&mut self, key: &FlowKey, slot: SlotIndex) {
+        let Self { records, index, .. } = self;
+        index.insert_unique(key.hash64(), slot, |slot| records[*slot as usize].key.hash64());
+    }
+
+    fn unlink(&mut self, key: &FlowKey) -> Option<SlotIndex> {
+        let Self { records, index, .. } = self;
+        let entry = index.find_entry(key.hash64(), |slot| records[*slot as usize].key == *key).ok()?;
+        Some(entry.remove().0)
+    }
+
+    fn intern(&mut self, service: ServiceId, note: &TargetNote) -> SeatIndex {
+        if let Some(seat) = self.by_pair.get(&(service, note.id)) {
+            return *seat;
+        }
+        let index = SeatIndex::try_from(self.seats.len()).unwrap_or(SeatIndex::MAX);
+        let ports = self.intern_ports(note.address);
+        self.seats.push(Seat { note: note.clone(), service, ports, live: 0, block: None });
+        self.by_pair.insert((service, note.id), index);
+        self.by_target.entry(note.id).or_default().push(index);
+        index
+    }
+
+    fn intern_ports(&mut self, address: SocketAddr) -> usize {
+        let next = self.ports.len();
+        let index = *self.by_address.entry(address).or_insert(next);
+        if index == next {
+            self.ports.push(Ports::default());
+        }
+        index
+    }
+
+    /// Forgets a flow at once; a channel it had rests.
+    pub fn remove(&mut self, now: Timestamp, key: &FlowKey) {
+        let Some(slot) = self.unlink(key) else { return };
+        match self.records[slot as usize].state {
+            State::Here { seat, channel } => {
+                self.seats[seat as usize].live -= 1;
+                self.rest(now, seat, channel);
+                self.held -= 1;
+            }
+            State::GivenAway { seat, channel } => self.rest(now, seat, channel),
+            State::Elsewhere { .. } => self.elsewhere -= 1,
+            State::Vacant => {}
+        }
+        self.records[slot as usize].state = State::Vacant;
+        self.vacant.push(slot);
+    }
+
+    fn rest(&mut self, now: Timestamp, seat: SeatIndex, channel: Channel) {
+        let ports = self.seats[seat as usize].ports;
+        self.ports[ports].rest(now, channel);
+    }
+
+    /// Stops holding a flow that another instance has taken over; answers to it still pass for a while.
+    pub fn give_away(&mut self, now: Timestamp, key: &FlowKey) {
+        let Some(slot) = self.find(key) else { return };
+        let record = &mut self.records[slot as usize];
+        if let State::Here { seat, channel } = record.state {
+            record.state = State::GivenAway { seat, channel };
+            record.touched = stamp(now);
+            self.seats[seat as usize].live -= 1;
+            self.held -= 1;
+        }
+    }
+
+    /// Finds the flow of a packet that came from a target on a channel, and notes that it had a packet.
+    pub fn find_by_channel(
+        &mut self,
+        now: Timestamp,
+        target: SocketAddr,
+        channel: Channel,
+    ) -> Option<(FlowKey, &Seat)> {
+        let ports = &self.ports[*self.by_address.get(&target)?];
+        let slot = (*ports.slots.get(usize::from(channel))?)?;
+        let record = &mut self.records[slot as usize];
+        let seat = match record.state {
+            State::Here { seat, .. } => {
+                record.touched = stamp(now);
+                seat
+            }
+            State::GivenAway { seat, .. } => seat,
+            State::Elsewhere { .. } | State::Vacant => return None,
+        };
+        Some((record.key, &self.seats[seat as usize]))
+    }
+
+    /// Walks a slice of the slab and forgets flows that have been silent for their service's idle time; returns how
+    /// many of those were held here.
+    pub fn expire(&mut self, now: Timestamp, idle: impl Fn(ServiceId) -> Option<Duration>) -> u64 {
+        let step = self.records.len().div_ceil(EXPIRY_SLICES);
+        let mut expired = 0;
+        for _ in 0..step {
+            self.cursor = if self.cursor + 1 >= self.records.len() { 0 } else { self.cursor + 1 };
+            let Record { key, state, touched } = self.records[self.cursor];
+            let limit = match state {
+                State::Vacant => continue,
+                State::GivenAway { .. } => REPLY_TAIL,
+                State::Here { .. } | State::Elsewhere { .. } => idle(key.service).unwrap_or(ORPHAN_IDLE),
+            };
+            let silent = Duration::from_millis(stamp(now).wrapping_sub(touched).into());
+            if silent >= limit {
+                expired += u64::from(matches!(state, State::Here { .. }));
+                self.remove(now, &key);
+            }
+        }
+        expired
+    }
+}
+
+fn holder(state: State) -> Option<Holder> {
+    match state {
+        State::Here { seat, channel } => Some(Holder::Here { seat, channel }),
+        State::Elsewhere { holder } => Some(Holder::Instance(holder)),
+        State::Vacant | State::GivenAway { .. } => None,
+    }
+}
+
+/// Shortens a time to milliseconds that wrap.
+fn stamp(now: Timestamp) -> u32 {
+    u32::try_from(now.as_millis() & u128::from(u32::MAX)).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,483 @@
+//! Who serves: the platform's lagging list, refined by heartbeats.
+//!
+//! Each period an instance pings one other, in an order shuffled anew each round, so that the cost a node does not
+//! grow with the fleet and a silent one is found within about two periods whatever the size. A ping that is not
+//! answered is tried through two others, since a single broken path must not take an instance out of everybody's
+//! view. Only then is it suspected, and only when the suspicion time passes without it refuting that does it count as
+//! dead. News rides on heartbeats.
+//!
+//! A life is told by its incarnation: a restart under the same id and address has a higher one, and everything said
+//! of the former life is void. Within a life only the instance itself raises its version, to refute.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
+
+use crate::Timestamp;
+use crate::event::InstanceList;
+use crate::event::ListedInstance;
+use crate::message::MemberState;
+use crate::message::MemberUpdate;
+use crate::message::Sequence;
+use crate::tuning::Tuning;
+use crate::view::Seat;
+use hawthornshift_model::Incarnation;
+use hawthornshift_model::InstanceId;
+
+/// How often each piece of news is passed on, beyond the logarithm of the fleet's size.
+const EXTRA_SENDS: u32 = 2;
+/// Most pieces of news on one heartbeat.
+const MAX_NEWS: usize = 6;
+/// Instances asked to ping one that does not answer.
+const INDIRECT_PINGS: usize = 2;
+/// One in this many periods also pings an instance that counts as dead, so that a healed partition is noticed.
+const DEAD_PING_ODDS: u32 = 4;
+/// Time after which an instance that is dead and that the platform no longer lists is forgotten.
+const FORGET_DEAD: Duration = Duration::from_mins(1);
+
+/// Who this process is; from its settings.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Identity {
+    /// Number of the instance.
+    pub id: InstanceId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Name of its failure domain.
+    pub failure_domain: String,
+    /// Where it takes messages.
+    pub control: SocketAddr,
+    /// Where it takes forwarded packets.
+    pub forward: SocketAddr,
+}
+
+/// What is known of one other instance.
+#[derive(Clone, Debug)]
+struct Member {
+    update: MemberUpdate,
+    /// When it came to its present state.
+    since: Timestamp,
+    /// Whether the platform's latest list names it.
+    listed: bool,
+    /// Heartbeats that the latest news still rides on.
+    sends_left: u32,
+}
+
+/// A ping that is waited for.
+#[derive(Clone, Debug)]
+struct Probe {
+    subject: InstanceId,
+    sent: Timestamp,
+    indirect: bool,
+    /// For whom the ping was sent, with that instance's number for it.
+    on_behalf: Option<(InstanceId, Sequence)>,
+}
+
+/// What membership wants sent; the node adds what rides on it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Signal {
+    /// A ping.
+    Ping {
+        /// To whom.
+        to: InstanceId,
+        /// Its number.
+        sequence: Sequence,
+    },
+    /// A request to ping another.
+    IndirectPing {
+        /// To whom.
+        to: InstanceId,
+        /// Its number.
+        sequence: Sequence,
+        /// Whom to ping.
+        subject: InstanceId,
+    },
+    /// Word that another has answered.
+    IndirectAck {
+        /// To whom.
+        to: InstanceId,
+        /// The asker's number.
+        sequence: Sequence,
+        /// Who has answered.
+        subject: InstanceId,
+    },
+}
+
+/// Everything known of the other instances.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    me: MemberUpdate,
+    tuning: Tuning,
+    members: BTreeMap<InstanceId, Member>,
+    round: Vec<InstanceId>,
+    probes: BTreeMap<Sequence, Probe>,
+    next_sequence: Sequence,
+    next_ping: Timestamp,
+    last_contact: Option<Timestamp>,
+    list_version: u64,
+    changes: Vec<(InstanceId, MemberState)>,
+    superseded: bool,
+}
+
+impl Membership {
+    /// Starts with nobody known.
+    #[must_use]
+    pub fn new(identity: Identity, tuning: Tuning) -> Self {
+        let me = MemberUpdate {
+            id: identity.id,
+            incarnation: identity.incarnation,
+            version: 0,
+            state: MemberState::Alive,
+            failure_domain: identity.failure_domain,
+            control: identity.control,
+            forward: identity.forward,
+        };
+        Self {
+            me,
+            tuning,
+            members: BTreeMap::new(),
+            round: Vec::new(),
+            probes: BTreeMap::new(),
+            next_sequence: 1,
+            next_ping: Timestamp::ZERO,
+            last_contact: None,
+            list_version: 0,
+            changes: Vec::new(),
+            superseded: false,
+        }
+    }
+
+    /// Returns this instance as it presents itself.
+    #[must_use]
+    pub fn me(&self) -> &MemberUpdate {
+        &self.me
+    }
+
+    /// Returns what is known of another instance.
+    #[must_use]
+    pub fn member(&self, id: InstanceId) -> Option<&MemberUpdate> {
+        self.members.get(&id).map(|member| &member.update)
+    }
+
+    /// Returns what is known of all other instances.
+    pub fn members(&self) -> impl Iterator<Item = &MemberUpdate> {
+        self.members.values().map(|member| &member.update)
+    }
+
+    /// Returns the other instances that can be reached, leaving ones included.
+    pub fn reachable(&self) -> impl Iterator<Item = &MemberUpdate> {
+        self.members().filter(|update| update.state.is_reachable())
+    }
+
+    /// Returns the version of the platform's list in use.
+    #[must_use]
+    pub fn list_version(&self) -> u64 {
+        self.list_version
+    }
+
+    /// Tells whether a newer life of this instance's id exists.
+    #[must_use]
+    pub fn superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Returns and forgets the changes of state since the last call.
+    pub fn take_changes(&mut self) -> Vec<(InstanceId, MemberState)> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Returns the instances that serve, this one included, with their failure domains.
+    pub fn serving(&self) -> impl Iterator<Item = (Seat, &str)> {
+        let serves = |update: &&MemberUpdate| matches!(update.state, MemberState::Alive | MemberState::Suspect);
+        let all = std::iter::once(&self.me).chain(self.members());
+        all.filter(serves)
+            .map(|update| (Seat { id: update.id, incarnation: update.incarnation }, update.failure_domain.as_str()))
+    }
+
+    /// Tells whether word from a peer is fresh enough to trust the view, or no peer is believed to live.
+    #[must_use]
+    pub fn in_touch(&self, now: Timestamp) -> bool {
+        let alone = !self.members().any(|update| matches!(update.state, MemberState::Alive | MemberState::Suspect));
+        alone || self.last_contact.is_some_and(|at| now.saturating_sub(at) < self.tuning.lease)
+    }
+
+    /// Declares this instance to be leaving.
+    pub fn leave(&mut self) {
+        self.me.state = MemberState::Leaving;
+        self.me.version += 1;
+    }
+
+    /// Declares this instance to be gone; said to peers just before the process ends.
+    pub fn depart(&mut self) {
+        self.me.state = MemberState::Dead;
+        self.me.version += 1;
+    }
+
+    /// Takes over the platform's list.
+    ///
+    /// The list lags, so it adds candidates to ping and marks who may be forgotten; it makes nobody alive and nobody
+    /// dead. An entry marked as leaving is believed, since the platform says so before the instance itself does.
+    pub fn read_list(&mut self, now: Timestamp, list: &InstanceList) {
+        if list.version < self.list_version {
+            return;
+        }
+        self.list_version = list.version;
+        self.members.values_mut().for_each(|member| member.listed = false);
+        let me = self.me.id;
+        for entry in list.instances.iter().filter(|entry| entry.id != me) {
+            self.list_entry(now, entry);
+        }
+    }
+
+    fn list_entry(&mut self, now: Timestamp, entry: &ListedInstance) {
+        let unheard = MemberUpdate {
+            id: entry.id,
+            incarnation: 0,
+            version: 0,
+            state: MemberState::Listed,
+            failure_domain: entry.failure_domain.clone(),
+            control: entry.control,
+            forward: entry.forward,
+        };
+        let member =
+            self.members.entry(entry.id).or_insert(Member { update: unheard, since: now, listed: true, sends_left: 0 });
+        member.listed = true;
+        if entry.leaving && member.update.state == MemberState::Alive {
+            member.update.state = MemberState::Leaving;
+            member.since = now;
+            self.changes.push((entry.id, MemberState::Leaving));
+        }
+    }
+
+    /// Notes that a message came from an instance, which introduces itself on each.
+    pub fn heard_from(&mut self, now: Timestamp, sender: &MemberUpdate) {
+        self.last_contact = Some(now);
+        self.absorb(now, sender);
+        // A direct word ends a suspicion of our own; the subject refutes the rumour itself when it hears of it.
+        if let Some(member) = self.members.get_mut(&sender.id) {
+            let current = member.update.incarnation == sender.incarnation;
+            if current && member.update.state == MemberState::Suspect {
+                member.since = now;
+            }
+        }
+    }
+
+    /// Takes over news of an instance if it is newer than what is known.
+    pub fn absorb(&mut self, now: Timestamp, update: &MemberUpdate) {
+        if update.id == self.me.id {
+            self.hear_of_myself(update);
+            return;
+        }
+        if update.state == MemberState::Listed {
+            return;
+        }
+        let sends = self.sends();
+        match self.members.get_mut(&update.id) {
+            None => {
+                let member = Member { update: update.clone(), since: now, listed: false, sends_left: sends };
+                self.members.insert(update.id, member);
+                self.changes.push((update.id, update.state));
+            }
+            Some(member) if update.rank() > member.update.rank() => {
+                if member.update.state != update.state || member.update.incarnation != update.incarnation {
+                    self.changes.push((update.id, update.state));
+                    member.since = now;
+                }
+                member.update = update.clone();
+                member.sends_left = sends;
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Refutes what is said of this instance, or learns that a later life of it exists.
+    fn hear_of_myself(&mut self, update: &MemberUpdate) {
+        if update.incarnation > self.me.incarnation {
+            self.superseded = true;
+            return;
+        }
+        if update.incarnation == self.me.incarnation && update.rank() > self.me.rank() {
+            self.me.version = update.version + 1;
+        }
+    }
+
+    fn sends(&self) -> u32 {
+        let fleet = u32::try_from(self.members.len() + 1).unwrap_or(u32::MAX);
+        fleet.ilog2() + EXTRA_SENDS
+    }
+
+    /// Returns the news that the next heartbeat carries; all of it in turn when the peer's view differs.
+    pub fn news(&mut self, rng: &mut SmallRng, differs: bool) -> Vec<MemberUpdate> {
+        let mut news = Vec::new();
+        for member in self.members.values_mut().filter(|member| member.sends_left > 0).take(MAX_NEWS) {
+            member.sends_left -= 1;
+            news.push(member.update.clone());
+        }
+        if differs {
+            let known = self.members.values().filter(|member| member.update.state != MemberState::Listed);
+            let more = known.map(|member| &member.update).filter(|update| !news.contains(update));
+            let more = more.choose_multiple(rng, MAX_NEWS.saturating_sub(news.len()));
+            let more: Vec<_> = more.into_iter().cloned().collect();
+            news.extend(more);
+        }
+        news
+    }
+
+    /// Does what is due: pings, suspicions, deaths, forgetting.
+    pub fn tick(&mut self, now: Timestamp, rng: &mut SmallRng) -> Vec<Signal> {
+        let mut signals = self.give_up_probes(now, rng);
+        self.bury(now);
+        if now >= self.next_ping {
+            let jitter = self.tuning.ping_period.mul_f64(rng.random_range(0.0..0.2));
+            self.next_ping = now + self.tuning.ping_period.mul_f64(0.9) + jitter;
+            let subjects = self.next_subjects(rng);
+            signals.extend(subjects.into_iter().map(|subject| self.ping(now, subject, None)));
+        }
+        signals
+    }
+
+    /// Pings several instances at once, to refresh a view that may be old.
+    pub fn refresh(&mut self, now: Timestamp, rng: &mut SmallRng, count: usize) -> Vec<Signal> {
+        let subjects = self.reachable().map(|update| update.id).choose_multiple(rng, count);
+        subjects.into_iter().map(|subject| self.ping(now, subject, None)).collect()
+    }
+
+    fn ping(&mut self, now: Timestamp, subject: InstanceId, on_behalf: Option<(InstanceId, Sequence)>) -> Signal {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        self.probes.insert(sequence, Probe { subject, sent: now, indirect: false, on_behalf });
+        Signal::Ping { to: subject, sequence }
+    }
+
+    fn next_subjects(&mut self, rng: &mut SmallRng) -> Vec<InstanceId> {
+        let mut subjects = Vec::new();
+        while let Some(subject) = self.round.pop() {
+            if self.members.get(&subject).is_some_and(|member| member.update.state != MemberState::Dead) {
+                subjects.push(subject);
+                break;
+            }
+        }
+        if self.round.is_empty() {
+            self.round = self.members.keys().copied().collect();
+            self.round.shuffle(rng);
+        }
+        if rng.random_ratio(1, DEAD_PING_ODDS) {
+            let dead = self.members.values().filter(|member| member.update.state == MemberState::Dead);
+            subjects.extend(dead.map(|member| member.update.id).choose(rng));
+        }
+        subjects
+    }
+
+    /// Tries silent pings through others, then suspects their subjects.
+    fn give_up_probes(&mut self, now: Timestamp, rng: &mut SmallRng) -> Vec<Signal> {
+        let mut signals = Vec::new();
+        let late = |probe: &Probe, limit: Duration| now.saturating_sub(probe.sent) >= limit;
+        let timeout = self.tuning.ping_timeout;
+        let overdue: Vec<Sequence> =
+            self.probes.iter().filter(|(_, probe)| late(probe, timeout)).map(|(sequence, _)| *sequence).collect();
+        for sequence in overdue {
+            let Some(probe) = self.probes.get_mut(&sequence) else { continue };
+            if !probe.indirect && probe.on_behalf.is_none() {
+                probe.indirect = true;
+                let subject = probe.subject;
+                signals.extend(self.ask_others(sequence, subject, rng));
+            } else if late(probe, timeout * 2) {
+                let probe = self.probes.remove(&sequence);
+                if let Some(probe) = probe.filter(|probe| probe.on_behalf.is_none()) {
+                    self.suspect(now, probe.subject);
+                }
+            }
+        }
+        signals
+    }
+
+    fn ask_others(&self, sequence: Sequence, subject: InstanceId, rng: &mut SmallRng) -> Vec<Signal> {
+        let others = self.reachable().filter(|update| update.id != subject).map(|update| update.id);
+        let others = others.choose_multiple(rng, INDIRECT_PINGS);
+        others.into_iter().map(|to| Signal::IndirectPing { to, sequence, subject }).collect()
+    }
+
+    fn suspect(&mut self, now: Timestamp, subject: InstanceId) {
+        let sends = self.sends();
+        let Some(member) = self.members.get_mut(&subject) else { return };
+        // One that is leaving serves nothing any more, so nothing is lost by counting it as dead at once.
+        let state = match member.update.state {
+            MemberState::Alive => MemberState::Suspect,
+            MemberState::Leaving => MemberState::Dead,
+            _ => return,
+        };
+        member.update.state = state;
+        member.since = now;
+        member.sends_left = sends;
+        self.changes.push((subject, state));
+    }
+
+    /// Counts as dead what was suspected for long enough, and forgets what has long been dead.
+    fn bury(&mut self, now: Timestamp) {
+        let sends = self.sends();
+        let suspicion = self.tuning.suspicion;
+        for member in self.members.values_mut() {
+            let overdue = now.saturating_sub(member.since) >= suspicion;
+            if member.update.state == MemberState::Suspect && overdue {
+                member.update.state = MemberState::Dead;
+                member.since = now;
+                member.sends_left = sends;
+                self.changes.push((member.update.id, MemberState::Dead));
+            }
+        }
+        let gone = |member: &Member| {
+            let dead = matches!(member.update.state, MemberState::Dead | MemberState::Listed);
+            dead && !member.listed && now.saturating_sub(member.since) >= FORGET_DEAD
+        };
+        self.members.retain(|_, member| !gone(member));
+    }
+
+    /// Notes that an instance could not be reached at all, which needs no waiting for a timeout.
+    pub fn unreachable(&mut self, now: Timestamp, subject: InstanceId) {
+        for probe in self.probes.values_mut().filter(|probe| probe.subject == subject && !probe.indirect) {
+            probe.sent = now.saturating_sub(self.tuning.ping_timeout);
+        }
+    }
+
+    /// Notes the answer to a ping and returns word to the one it was sent for.
+    pub fn acknowledged(&mut self, now: Timestamp, sequence: Sequence, from: InstanceId) -> Option<Signal> {
+        let probe = self.probes.get(&sequence).filter(|probe| probe.subject == from)?;
+        let on_behalf = probe.on_behalf;
+        self.probes.remove(&sequence);
+        self.settle(now, from);
+        on_behalf.map(|(to, sequence)| Signal::IndirectAck { to, sequence, subject: from })
+    }
+
+    /// Notes word from a third instance that one has answered.
+    pub fn acknowledged_indirectly(&mut self, now: Timestamp, sequence: Sequence, subject: InstanceId) {
+        if self.probes.get(&sequence).is_some_and(|probe| probe.subject == subject) {
+            self.probes.remove(&sequence);
+            self.settle(now, subject);
+        }
+    }
+
+    /// Restarts the suspicion time of an instance that has just answered: it will refute the rumour itself.
+    fn settle(&mut self, now: Timestamp, subject: InstanceId) {
+        if let Some(member) = self.members.get_mut(&subject)
+            && member.update.state == MemberState::Suspect
+        {
+            member.since = now;
+            member.sends_left = member.sends_left.max(1);
+        }
+    }
+
+    /// Pings an instance for another that got no answer.
+    pub fn ping_for(
+        &mut self,
+        now: Timestamp,
+        subject: InstanceId,
+        asker: InstanceId,
+        sequence: Sequence,
+    ) -> Option<Signal> {
+        self.members.contains_key(&subject).then(|| self.ping(now, subject, Some((asker, sequence))))
+    }
+}
--- /dev/null
+++ b/crates/core/src/requests/mod.rs
@@ -0,0 +1,715 @@
+//! Requests: from the caller over the ticket's issuer and a target's keeper to the target, and back.
+//!
+//! An instance can have any of three parts in one request, each at most once:
+//!
+//! - *entry*: it took the request from the caller. It passes one that carries a ticket to the ticket's issuer.
+//! - *owner*: it decides how often the request is tried. For a ticket that is the issuer, else the entry.
+//! - *keeper*: it keeps a target and runs the request there when a slot is free.
+//!
+//! # When "not run" may be said
+//!
+//! The verdict speaks of the request, not of one try: a retry with the same ticket is the same request. So of a
+//! ticket only its issuer says "not run", which knows every redemption; an entry that cannot reach the issuer says
+//! "may have run" even though it did nothing itself. Along a request's way verdicts only get worse ([`Verdict`] is
+//! ordered); `worst` in each entry sees to that.
+
+pub mod budget;
+pub mod routing;
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use serde::Serialize;
+
+use self::budget::RetryBudget;
+use self::routing::Routing;
+use crate::Timestamp;
+use crate::catalog::GroupId;
+use crate::event::AnswerId;
+use crate::event::AnswerNote;
+use crate::event::AttemptNumber;
+use crate::event::Notice;
+use crate::event::Output;
+use crate::event::Reply;
+use crate::event::RequestId;
+use crate::invariants::Invariant;
+use crate::invariants::Ledger;
+use crate::keeper::Admission;
+use crate::keeper::Evidence;
+use crate::keeper::Keeper;
+use crate::membership::Membership;
+use crate::message::PassHead;
+use crate::message::PassPurpose;
+use crate::message::Reason;
+use crate::message::Refusal;
+use crate::tickets::LastWord;
+use crate::tickets::Presented;
+use crate::tickets::RunEnd;
+use crate::tickets::Serial;
+use crate::tickets::Ticket;
+use crate::tickets::Tickets;
+use crate::view::View;
+use hawthornshift_model::Class;
+use hawthornshift_model::InstanceId;
+use hawthornshift_model::ServiceId;
+use hawthornshift_model::TargetId;
+use hawthornshift_model::Verdict;
+
+/// Keepers that a request is offered to at most.
+const MAX_KEEPERS: usize = 4;
+/// Most requests that one instance handles at once.
+const MAX_REQUESTS: usize = 20_000;
+/// What each hop takes off the time left, so that the instance nearest the target gives up first and can say why.
+const HOP_MARGIN: Duration = Duration::from_millis(20);
+/// When a caller that was refused for lack of room is told to come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the request decisions look at and act on besides their own state.
+pub struct RequestCx<'a> {
+    /// The present time.
+    pub now: Timestamp,
+    /// The view in force.
+    pub view: &'a View,
+    /// The other instances.
+    pub members: &'a Membership,
+    /// The targets kept here.
+    pub keeper: &'a mut Keeper,
+    /// The tickets issued here.
+    pub tickets: &'a mut Tickets,
+    /// Breaches.
+    pub ledger: &'a mut Ledger,
+    /// Randomness.
+    pub rng: &'a mut SmallRng,
+    /// Whether peers have been heard of lately.
+    pub in_touch: bool,
+    /// Whether the view must be refreshed first.
+    pub fenced: bool,
+    /// Whether tickets issued here are no longer redeemed, since the last word has been said.
+    pub closed: bool,
+    /// Where actions go.
+    pub out: &'a mut Vec<Output>,
+}
+
+/// Counts of requests by how they ended here.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RequestCounts {
+    /// Requests taken from callers.
+    pub arrived: u64,
+    /// Requests taken from other instances.
+    pub passed_in: u64,
+    /// Answered whole.
+    pub answered: u64,
+    /// Refused as not run.
+    pub not_run: u64,
+    /// Ended as may have run.
+    pub may_have_run: u64,
+    /// Tries beyond the first.
+    pub retries: u64,
+    /// Answers that came after their try had been given up.
+    pub late_answers: u64,
+}
+
+/// Where a request came from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Part {
+    /// From a caller, without a ticket of another issuer: this instance is entry and owner.
+    Owner,
+    /// From a caller, with a ticket of another issuer: this instance is only the entry.
+    Entry,
+    /// From the entry, with a ticket issued here: this instance is the owner.
+    Issuer,
+    /// From the owner: this instance is the keeper.
+    Keeper,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    /// Not placed anywhere yet.
+    New,
+    /// Waits for a run of the same ticket.
+    Waiting,
+    /// At the ticket's issuer.
+    AtIssuer,
+    /// At a keeper.
+    AtKeeper(InstanceId),
+    /// Waits for a slot here.
+    Queued,
+    /// Runs at a target kept here.
+    Running,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    part: Part,
+    service: ServiceId,
+    group: GroupId,
+    class: Class,
+    idempotent: bool,
+    deadline: Timestamp,
+    stage: Stage,
+    serial: Option<Serial>,
+    tried: Vec<InstanceId>,
+    attempt: AttemptNumber,
+    worst: Verdict,
+    /// Whether a try is under way that a target may be running.
+    exposed: bool,
+    abandoned: bool,
+}
+
+/// All requests that this instance has a part in.
+#[derive(Clone, Debug, Default)]
+pub struct Requests {
+    entries: HashMap<RequestId, Entry>,
+    deadlines: BTreeSet<(Timestamp, RequestId)>,
+    routing: Routing,
+    budget: RetryBudget,
+    counts: RequestCounts,
+}
+
+/// A request that has just come in.
+#[derive(Clone, Copy)]
+struct Arrived {
+    request: RequestId,
+    part: Part,
+    service: ServiceId,
+    idempotent: bool,
+    with_ticket: bool,
+    time_left: Option<Duration>,
+}
+
+impl Requests {
+    /// Returns the counts since start.
+    #[must_use]
+    pub fn counts(&self) -> &RequestCounts {
+        &self.counts
+    }
+
+    /// Returns the requests under way.
+    #[must_use]
+    pub fn under_way(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Takes over the view.
+    pub fn view_changed(&mut self, view: &View, own_domain: &str) {
+        self.routing.view_changed(view, own_domain);
+    }
+
+    /// Takes a request from a caller.
+    pub fn arrived(
+        &mut self,
+        cx: &mut RequestCx<'_>,
+        request: RequestId,
+        service: ServiceId,
+        idempotent: bool,
+        ticket: Option<&str>,
+        timeout: Option<Duration>,
+    ) {
+        self.counts.arrived += 1;
+        let part = match ticket {
+            Some(text) if !idempotent && !is_own(text, cx.members) => Part::Entry,
+            _ => Part::Owner,
+        };
+        let with_ticket = ticket.is_some() && !idempotent;
+        let arrived = Arrived { request, part, service, idempotent, with_ticket, time_left: timeout };
+        if !self.enter(cx, arrived) {
+            return;
+        }
+        self.budget.earn();
+        match ticket {
+            _ if idempotent => self.dispatch(cx, request),
+            None => self.refuse(cx, request, Verdict::NotRun, Reason::TicketRequired),
+            Some(text) if part == Part::Owner => self.redeem(cx, request, text),
+            Some(text) => self.pass_to_issuer(cx, request, text),
+        }
+    }
+
+    /// Takes a request from another instance.
+    pub fn passed(&mut self, cx: &mut RequestCx<'_>, request: RequestId, head: &PassHead) {
+        self.counts.passed_in += 1;
+        let part = match head.purpose {
+            PassPurpose::Redeem { .. } => Part::Issuer,
+            PassPurpose::Keep => Part::Keeper,
+        };
+        let arrived = Arrived {
+            request,
+            part,
+            service: head.service,
+            idempotent: head.idempotent,
+            with_ticket: part == Part::Issuer,
+            time_left: Some(head.time_left),
+        };
+        if !self.enter(cx, arrived) {
+            return;
+        }
+        match &head.purpose {
+            PassPurpose::Redeem { ticket } => self.redeem(cx, request, ticket),
+            PassPurpose::Keep => self.keep(cx, request),
+        }
+    }
+
+    /// Makes an entry for a request, or refuses it at once.
+    fn enter(&mut self, cx: &mut RequestCx<'_>, arrived: Arrived) -> bool {
+        let Arrived { request, part, service, idempotent, with_ticket, time_left } = arrived;
+        // A refusal before the ticket has been looked at says nothing of earlier tries with it.
+        let worst = if with_ticket { Verdict::MayHaveRun } else { Verdict::NotRun };
+        let known = cx.view.catalog().service(service);
+        let Some(known) = known.filter(|_| self.entries.len() < MAX_REQUESTS) else {
+            let reason = if known.is_some() { Reason::TableFull } else { Reason::UnknownService };
+            self.reply_refusal(cx, request, part, service, Refusal { verdict: worst, reason });
+            return false;
+        };
+        let time_left = time_left.map_or(known.timeout, |timeout| timeout.min(known.timeout));
+        let entry = Entry {
+            part,
+            service,
+            group: known.group_id,
+            class: known.class,
+            idempotent,
+            deadline: cx.now + time_left,
+            stage: Stage::New,
+            serial: None,
+            tried: Vec::new(),
+            attempt: 0,
+            worst: Verdict::NotRun,
+            exposed: false,
+            abandoned: false,
+        };
+        self.deadlines.insert((entry.deadline, request));
+        self.entries.insert(request, entry);
+        if cx.fenced {
+            self.refuse(cx, request, worst, Reason::Fenced);
+            return false;
+        }
+        true
+    }
+
+    /// Passes a request to the instance that issued its ticket.
+    fn pass_to_issuer(&mut self, cx: &mut RequestCx<'_>, request: RequestId, text: &str) {
+        let Ok(ticket) = Ticket::parse(text) else {
+            return self.refuse(cx, request, Verdict::NotRun, Reason::TicketInvalid);
+        };
+        match cx.tickets.last_word(&ticket) {
+            LastWord::NeverRedeemed => return self.refuse(cx, request, Verdict::NotRun, Reason::TicketExpired),
+            LastWord::Redeemed => return self.refuse(cx, request, Verdict::MayHaveRun, Reason::AnswerGone),
+            LastWord::None => {}
+        }
+        let issuer = cx.members.member(ticket.issuer);
+        let issuer = issuer.filter(|update| update.incarnation == ticket.incarnation && update.state.is_reachable());
+        let Some(address) = issuer.map(|update| update.control) else {
+            return self.refuse(cx, request, Verdict::MayHaveRun, Reason::IssuerGone);
+        };
+        let Some(entry) = self.entries.get_mut(&request) else { return };
+        entry.stage = Stage::AtIssuer;
+        let purpose = PassPurpose::Redeem { ticket: text.to_owned() };
+        let head = entry.pass_head(cx.now, purpose);
+        cx.out.push(Output::Pass { request, to: ticket.issuer, address, head });
+    }
+
+    /// Redeems a ticket issued here.
+    fn redeem(&mut self, cx: &mut RequestCx<'_>, request: RequestId, text: &str) {
+        let Some(service) = self.entries.get(&request).map(|entry| entry.service) else { return };
+        if cx.closed {
+            // The last word has been said; a redemption now would make it a lie.
+            return self.refuse(cx, request, Verdict::MayHaveRun, Reason::Stopping);
+        }
+        match cx.tickets.present(cx.now, text, service, request) {
+            Presented::Run(serial) => {
+                let Some(entry) = self.entries.get_mut(&request) else { return };
+                entry.serial = Some(serial);
+                self.dispatch(cx, request);
+            }
+            Presented::Wait => self.set_stage(request, Stage::Waiting),
+            Presented::Answer(answer) => self.answer_kept(cx, request, answer),
+            Presented::AnswerGone => self.refuse(cx, request, Verdict::MayHaveRun, Reason::AnswerGone),
+            Presented::Unknown(refusal) => self.refuse(cx, request, refusal.verdict, refusal.reason),
+            Presented::Invalid => self.refuse(cx, request, Verdict::NotRun, Reason::TicketInvalid),
+            Presented::Expired => self.refuse(cx, request, Verdict::NotRun, Reason::TicketExpired),
+            Presented::Forgotten => self.refuse(cx, request, Verdict::MayHaveRun, Reason::TicketExpired),
+            Presented::Full => self.refuse(cx, request, Verdict::NotRun, Reason::TableFull),
+        }
+    }
+
+    fn set_stage(&mut self, request: RequestId, stage: Stage) {
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.stage = stage;
+        }
+    }
+
+    /// Offers a request to the best keeper that has not refused it yet.
+    fn dispatch(&mut self, cx: &mut RequestCx<'_>, request: RequestId) {
+        let Some(entry) = self.entries.get_mut(&request) else { return };
+        let me = cx.members.me().id;
+        let spare = cx.keeper.spare_slots(cx.now, entry.group, cx.in_touch);
+        let choice = if entry.tried.len() < MAX_KEEPERS {
+            self.routing.choose(cx.now, entry.group, &entry.tried, me, spare, cx.rng)
+        } else {
+            None
+        };
+        let Some(keeper) = choice else {
+            let reason = if entry.tried.is_empty() { Reason::NoTarget } else { Reason::Overloaded };
+            return self.refuse(cx, request, Verdict::NotRun, reason);
+        };
+        entry.tried.push(keeper);
+        if keeper == me {
+            return self.keep(cx, request);
+        }
+        let Some(address) = cx.members.member(keeper).map(|update| update.control) else {
+            return self.dispatch(cx, request);
+        };
+        entry.stage = Stage::AtKeeper(keeper);
+        entry.exposed = true;
+        let head = entry.pass_head(cx.now, PassPurpose::Keep);
+        self.routing.passed(keeper, entry.group);
+        cx.out.push(Output::Pass { request, to: keeper, address, head });
+    }
+
+    /// Gives a request a slot of a target kept here, or a place in the queue.
+    fn keep(&mut self, cx: &mut RequestCx<'_>, request: RequestId) {
+        let Some(entry) = self.entries.get_mut(&request) else { return };
+        let admission = cx.keeper.admit(cx.now, request, entry.group, entry.class, cx.in_touch, cx.ledger);
+        match admission {
+            Admission::Run(target) => self.execute(cx, request, target),
+            Admission::Queued => entry.stage = Stage::Queued,
+            Admission::QueuedInsteadOf(displaced) => {
+                entry.stage = Stage::Queued;
+                self.try_elsewhere(cx, displaced, Reason::Overloaded);
+            }
+            Admission::Full => self.try_elsewhere(cx, request, Reason::Overloaded),
+            Admission::NoTarget => self.try_elsewhere(cx, request, Reason::NoTarget),
+        }
+    }
+
+    fn execute(&mut self, cx: &mut RequestCx<'_>, request: RequestId, target: TargetId) {
+        let Some(entry) = self.entries.get_mut(&request) else {
+            cx.keeper.ended(cx.now, request, Evidence::Nothing);
+            return;
+        };
+        let Some(target) = cx.view.catalog().target(target) else {
+            cx.keeper.ended(cx.now, request, Evidence::Nothing);
+            return self.try_elsewhere(cx, request, Reason::NoTarget);
+        };
+        cx.ledger.assert(cx.view.catalog().domains()[target.domain].in_service, Invariant::OutDomainSilent);
+        let own = cx.view.catalog().service(entry.service).map(|service| service.group_id);
+        cx.ledger.assert(own == Some(target.group_id), Invariant::PacketStaysWithService);
+        entry.stage = Stage::Running;
+        entry.exposed = true;
+        entry.attempt += 1;
+        let time_left = entry.deadline.saturating_sub(cx.now);
+        let attempt = entry.attempt;
+        cx.out.push(Output::Execute { request, attempt, address: target.address, time_left });
+    }
+
+    /// Goes on with a request that has not run where it was: the owner tries another keeper.
+    fn try_elsewhere(&mut self, cx: &mut RequestCx<'_>, request: RequestId, reason: Reason) {
+        let Some(entry) = self.entries.get_mut(&request) else { return };
+        entry.exposed = false;
+        if entry.part == Part::Keeper {
+            self.refuse(cx, request, Verdict::NotRun, reason);
+        } else {
+            self.counts.retries += 1;
+            self.dispatch(cx, request);
+        }
+    }
+
+    /// Goes on with a request of which a try may have run: only an idempotent one is tried again, within the budget.
+    fn may_have_run(&mut self, cx: &mut RequestCx<'_>, request: RequestId, reason: Reason) {
+        let Some(entry) = self.entries.get_mut(&request) else { return };
+        entry.worst = Verdict::MayHaveRun;
+        entry.exposed = false;
+        if entry.idempotent && entry.part != Part::Keeper && self.budget.spend() {
+            self.counts.retries += 1;
+            return self.dispatch(cx, request);
+        }
+        self.refuse(cx, request, Verdict::MayHaveRun, reason);
+    }
+
+    /// Takes the word of an instance that a request was passed to.
+    pub fn pass_ended(
+        &mut self,
+        cx: &mut RequestCx<'_>,
+        request: RequestId,
+        result: Result<AnswerNote, Refusal>,
+        free: Option<u32>,
+    ) {
+        let Some(entry) = self.entries.get(&request) else {
+            return self.drop_late(cx, result.ok());
+        };
+        match (entry.stage, result) {
+            (Stage::AtIssuer, Ok(answer)) => self.answer(cx, request, answer),
+            (Stage::AtIssuer, Err(refusal)) => self.refuse(cx, request, refusal.verdict, refusal.reason),
+            (Stage::AtKeeper(keeper), result) => {
+                self.routing.ended(cx.now, keeper, entry.group, free);
+                match result {
+                    Ok(answer) => self.answer(cx, request, answer),
+                    Err(refusal) if refusal.verdict == Verdict::NotRun => {
+                        self.try_elsewhere(cx, request, refusal.reason);
+                    }
+                    Err(refusal) => self.may_have_run(cx, request, refusal.reason),
+                }
+            }
+            (_, result) => self.drop_late(cx, result.ok()),
+        }
+    }
+
+    /// Notes that the instance that a request was passed to said nothing.
+    pub fn pass_failed(&mut self, cx: &mut RequestCx<'_>, request: RequestId, verdict: Verdict) {
+        let Some(entry) = self.entries.get(&request) else { return };
+        match entry.stage {
+            // Earlier tries with the same ticket may have reached the issuer.
+            Stage::AtIssuer => self.refuse(cx, request, Verdict::MayHaveRun, Reason::IssuerGone),
+            Stage::AtKeeper(keeper) => {
+                self.routing.ended(cx.now, keeper, entry.group, Some(0));
+                if verdict == Verdict::NotRun {
+                    self.try_elsewhere(cx, request, Reason::ConnectionBroken);
+                } else {
+                    self.may_have_run(cx, request, Reason::ConnectionBroken);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn is_current(&self, request: RequestId, attempt: AttemptNumber) -> bool {
+        let entry = self.entries.get(&request);
+        entry.is_some_and(|entry| entry.stage == Stage::Running && entry.attempt == attempt)
+    }
+
+    /// Takes a target's whole answer.
+    pub fn target_answered(
+        &mut self,
+        cx: &mut RequestCx<'_>,
+        request: RequestId,
+        attempt: AttemptNumber,
+        answer: AnswerNote,
+    ) {
+        if !self.is_current(request, attempt) {
+            return self.drop_late(cx, Some(answer));
+        }
+        cx.keeper.ended(cx.now, request, Evidence::Good);
+        self.answer(cx, request, answer);
+        self.start_waiting(cx);
+    }
+
+    /// Takes the failure of a try at a target.
+    pub fn target_failed(
+        &mut self,
+        cx: &mut RequestCx<'_>,
+        request: RequestId,
+        attempt: AttemptNumber,
+        refusal: Refusal,
+    ) {
+        if !self.is_current(request, attempt) {
+            return;
+        }
+        let evidence = if refusal.reason == Reason::RefusedByTarget { Evidence::Shed } else { Evidence::Failed };
+        cx.keeper.ended(cx.now, request, evidence);
+        if refusal.verdict == Verdict::NotRun {
+            self.try_elsewhere(cx, request, refusal.reason);
+        } else {
+            self.may_have_run(cx, request, refusal.reason);
+        }
+        self.start_waiting(cx);
+    }
+
+    /// Runs requests that wait, as far as slots are free.
+    pub fn start_waiting(&mut self, cx: &mut RequestCx<'_>) {
+        for (request, target) in cx.keeper.start_waiting(cx.now, cx.in_touch, cx.ledger) {
+            self.execute(cx, request, target);
+        }
+    }
+
+    /// Goes on with requests that waited for targets which this instance no longer keeps.
+    pub fn stranded(&mut self, cx: &mut RequestCx<'_>, requests: Vec<RequestId>) {
+        for request in requests {
+            self.try_elsewhere(cx, request, Reason::NoTarget);
+        }
+    }
+
+    /// Notes that a caller has gone. An idempotent request is given up; one with a ticket goes on, since the caller
+    /// may come back for its answer.
+    pub fn caller_gone(&mut self, cx: &mut RequestCx<'_>, request: RequestId) {
+        let Some(entry) = self.entries.get_mut(&request) else { return };
+        entry.abandoned = true;
+        if entry.idempotent {
+            self.give_up(cx, request);
+            self.remove(request);
+            self.start_waiting(cx);
+        }
+    }
+
+    /// Ends requests whose deadline is over.
+    pub fn expire(&mut self, cx: &mut RequestCx<'_>) {
+        while let Some(&(deadline, request)) = self.deadlines.first() {
+            if deadline > cx.now {
+                break;
+            }
+            let verdict = self.give_up(cx, request);
+            self.refuse(cx, request, verdict, Reason::DeadlineExceeded);
+        }
+        self.start_waiting(cx);
+    }
+
+    /// Takes a request away from wherever it is; returns whether it may have run there.
+    fn give_up(&mut self, cx: &mut RequestCx<'_>, request: RequestId) -> Verdict {
+        let Some(entry) = self.entries.get(&request) else { return Verdict::NotRun };
+        match entry.stage {
+            Stage::New => Verdict::NotRun,
+            Stage::Queued => {
+                cx.keeper.forget(request);
+                Verdict::NotRun
+            }
+            Stage::Waiting => {
+                cx.tickets.stop_waiting(request);
+                Verdict::MayHaveRun
+            }
+            Stage::AtIssuer => {
+                cx.out.push(Output::Cancel { request });
+                Verdict::MayHaveRun
+            }
+            Stage::AtKeeper(keeper) => {
+                self.routing.ended(cx.now, keeper, entry.group, None);
+                cx.out.push(Output::Cancel { request });
+                Verdict::MayHaveRun
+            }
+            Stage::Running => {
+                cx.keeper.ended(cx.now, request, Evidence::Nothing);
+                cx.out.push(Output::Cancel { request });
+                Verdict::MayHaveRun
+            }
+        }
+    }
+
+    fn remove(&mut self, request: RequestId) -> Option<Entry> {
+        let entry = self.entries.remove(&request)?;
+        self.deadlines.remove(&(entry.deadline, request));
+        Some(entry)
+    }
+
+    fn drop_late(&mut self, cx: &mut RequestCx<'_>, answer: Option<AnswerNote>) {
+        if let Some(answer) = answer {
+            self.counts.late_answers += 1;
+            cx.out.push(Output::ForgetAnswer { answer: answer.id });
+        }
+    }
+
+    /// Ends a request, and all that wait for the same ticket, with an answer.
+    fn answer(&mut self, cx: &mut RequestCx<'_>, request: RequestId, answer: AnswerNote) {
+        let Some(entry) = self.remove(request) else { return };
+        self.reply_answer(cx, request, &entry, answer.id);
+        let Some(serial) = entry.serial else {
+            cx.out.push(Output::ForgetAnswer { answer: answer.id });
+            return;
+        };
+        let settlement = cx.tickets.settle(serial, RunEnd::Answered(answer), cx.ledger);
+        for waiter in settlement.waiting {
+            self.answer_kept(cx, waiter, answer.id);
+        }
+        cx.out.extend(settlement.dropped.into_iter().map(|answer| Output::ForgetAnswer { answer }));
+    }
+
+    /// Ends a request with an answer that is kept under its ticket.
+    fn answer_kept(&mut self, cx: &mut RequestCx<'_>, request: RequestId, answer: AnswerId) {
+        if let Some(entry) = self.remove(request) {
+            self.reply_answer(cx, request, &entry, answer);
+        }
+    }
+
+    fn reply_answer(&mut self, cx: &mut RequestCx<'_>, request: RequestId, entry: &Entry, answer: AnswerId) {
+        self.counts.answered += 1;
+        let ticket = next_ticket(cx, entry.part, entry.service, entry.idempotent);
+        let free = free_for(cx, entry.part, entry.group);
+        cx.out.push(Output::Reply { request, reply: Reply::Answer { answer, ticket, free } });
+    }
+
+    /// Ends a request, and all that wait for the same ticket, without an answer.
+    fn refuse(&mut self, cx: &mut RequestCx<'_>, request: RequestId, verdict: Verdict, reason: Reason) {
+        let Some(entry) = self.remove(request) else { return };
+        let verdict = verdict.max(entry.worst);
+        if verdict == Verdict::NotRun {
+            cx.ledger.assert(!entry.exposed, Invariant::NotRunIsTrue);
+        }
+        let refusal = Refusal { verdict, reason };
+        if verdict == Verdict::MayHaveRun && !entry.idempotent && entry.part != Part::Keeper {
+            cx.out.push(Output::Notice(Notice::OutcomeUnknown { service: entry.service, reason }));
+        }
+        self.reply_refusal_for(cx, request, &entry, refusal);
+        let Some(serial) = entry.serial else { return };
+        let end = if verdict == Verdict::NotRun { RunEnd::NotRun } else { RunEnd::Unknown(refusal) };
+        let settlement = cx.tickets.settle(serial, end, cx.ledger);
+        for waiter in settlement.waiting {
+            if let Some(entry) = self.remove(waiter) {
+                self.reply_refusal_for(cx, waiter, &entry, refusal);
+            }
+        }
+    }
+
+    fn reply_refusal_for(&mut self, cx: &mut RequestCx<'_>, request: RequestId, entry: &Entry, refusal: Refusal) {
+        if entry.abandoned && entry.idempotent {
+            return;
+        }
+        self.reply_refusal(cx, request, entry.part, entry.service, refusal);
+    }
+
+    fn reply_refusal(
+        &mut self,
+        cx: &mut RequestCx<'_>,
+        request: RequestId,
+        part: Part,
+        service: ServiceId,
+        refusal: Refusal,
+    ) {
+        match refusal.verdict {
+            Verdict::NotRun => self.counts.not_run += 1,
+            Verdict::MayHaveRun | Verdict::Answered => self.counts.may_have_run += 1,
+        }
+        let wants_ticket =
+            matches!(refusal.reason, Reason::TicketRequired | Reason::TicketInvalid | Reason::TicketExpired);
+        let ticket = if wants_ticket { next_ticket(cx, part, service, false) } else { None };
+        let group = cx.view.catalog().service(service).map(|service| service.group_id);
+        let free = group.and_then(|group| free_for(cx, part, group));
+        let retry_after = is_passing(refusal.reason).then_some(RETRY_AFTER);
+        let reply = Reply::Refuse { refusal, ticket, retry_after, free };
+        cx.out.push(Output::Reply { request, reply });
+    }
+}
+
+impl Entry {
+    fn pass_head(&self, now: Timestamp, purpose: PassPurpose) -> PassHead {
+        let time_left = self.deadline.saturating_sub(now).saturating_sub(HOP_MARGIN);
+        PassHead { service: self.service, purpose, idempotent: self.idempotent, time_left }
+    }
+}
+
+/// Issues a ticket for the caller's next non-idempotent request; only where the caller is answered from.
+fn next_ticket(cx: &mut RequestCx<'_>, part: Part, service: ServiceId, idempotent: bool) -> Option<String> {
+    let to_caller = matches!(part, Part::Owner | Part::Entry);
+    (to_caller && !idempotent && !cx.closed).then(|| cx.tickets.issue(cx.now, service))
+}
+
+/// Tells whether a ticket names this life of this instance.
+fn is_own(text: &str, members: &Membership) -> bool {
+    let me = members.me();
+    Ticket::parse(text).is_ok_and(|ticket| ticket.issuer == me.id && ticket.incarnation == me.incarnation)
+}
+
+/// Tells whether what a request was refused for is likely to pass soon.
+fn is_passing(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::Overloaded
+            | Reason::NoTarget
+            | Reason::Fenced
+            | Reason::Stopping
+            | Reason::RefusedByTarget
+            | Reason::TableFull
+    )
+}
+
+/// Returns what a keeper tells the owner of a request about its free slots.
+fn free_for(cx: &RequestCx<'_>, part: Part, group: GroupId) -> Option<u32> {
+    (part == Part::Keeper).then(|| cx.keeper.spare_slots(cx.now, group, cx.in_touch))
+}
--- /dev/null
+++ b/crates/core/src/requests/routing.rs
@@ -0,0 +1,101 @@
+//! Which keeper a request goes to.
+//!
+//! A keeper says on each reply how many slots it has free. That is a hint, and it ages; what this instance has sent
+//! there and not heard of yet is certain, and is taken off. Keepers in this instance's own failure domain go first
+//! while they have room.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::Timestamp;
+use crate::catalog::DomainIndex;
+use crate::catalog::GroupId;
+use crate::view::View;
+use hawthornshift_model::InstanceId;
+
+/// Age at which a keeper's word of its free slots no longer counts.
+const HINT_LIFE: Duration = Duration::from_millis(500);
+
+/// An instance that keeps targets of a group.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    id: InstanceId,
+    domain: DomainIndex,
+    slots: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Hint {
+    free: u32,
+    at: Timestamp,
+}
+
+/// Who keeps what, and what is known of their free slots.
+#[derive(Clone, Debug, Default)]
+pub struct Routing {
+    keepers: BTreeMap<GroupId, Vec<Candidate>>,
+    hints: BTreeMap<(InstanceId, GroupId), Hint>,
+    outstanding: BTreeMap<(InstanceId, GroupId), u32>,
+    own_domain: Option<DomainIndex>,
+}
+
+impl Routing {
+    /// Works out who keeps what under a view.
+    pub fn view_changed(&mut self, view: &View, own_domain: &str) {
+        let catalog = view.catalog();
+        self.own_domain = catalog.domain_index(own_domain);
+        self.keepers.clear();
+        for target in catalog.targets().filter(|target| !target.leaving) {
+            let Some(keeper) = view.keeper(target.id) else { continue };
+            let candidates = self.keepers.entry(target.group_id).or_default();
+            match candidates.iter_mut().find(|candidate| candidate.id == keeper && candidate.domain == target.domain) {
+                Some(candidate) => candidate.slots += target.slots,
+                None => candidates.push(Candidate { id: keeper, domain: target.domain, slots: target.slots }),
+            }
+        }
+    }
+
+    /// Chooses a keeper of a group that has not been tried; `spare` are the slots that this instance, `me`, has free.
+    pub fn choose(
+        &self,
+        now: Timestamp,
+        group: GroupId,
+        tried: &[InstanceId],
+        me: InstanceId,
+        spare: u32,
+        rng: &mut SmallRng,
+    ) -> Option<InstanceId> {
+        let candidates = self.keepers.get(&group)?.iter().filter(|candidate| !tried.contains(&candidate.id));
+        let ranked = candidates.map(|candidate| {
+            let credit = if candidate.id == me { i64::from(spare) } else { self.credit(now, group, candidate) };
+            let near = credit > 0 && Some(candidate.domain) == self.own_domain;
+            ((near, credit, rng.random::<u32>()), candidate.id)
+        });
+        ranked.max_by_key(|(rank, _)| *rank).map(|(_, id)| id)
+    }
+
+    fn credit(&self, now: Timestamp, group: GroupId, candidate: &Candidate) -> i64 {
+        let key = (candidate.id, group);
+        let hint = self.hints.get(&key).filter(|hint| now.saturating_sub(hint.at) < HINT_LIFE);
+        let free = hint.map_or(candidate.slots, |hint| hint.free);
+        i64::from(free) - i64::from(self.outstanding.get(&key).copied().unwrap_or(0))
+    }
+
+    /// Notes that a request was passed to a keeper.
+    pub fn passed(&mut self, keeper: InstanceId, group: GroupId) {
+        *self.outstanding.entry((keeper, group)).or_default() += 1;
+    }
+
+    /// Notes that a keeper has ended a passed request, and what it said of its free slots.
+    pub fn ended(&mut self, now: Timestamp, keeper: InstanceId, group: GroupId, free: Option<u32>) {
+        if let Some(count) = self.outstanding.get_mut(&(keeper, group)) {
+            *count = count.saturating_sub(1);
+        }
+        if let Some(free) = free {
+            self.hints.insert((keeper, group), Hint { free, at: now });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/tickets.rs
@@ -0,0 +1,413 @@
+//! Tickets: how a non-idempotent request runs at most once without any agreement between instances.
+//!
+//! A ticket names the one life of the one instance that issued it. That instance alone may redeem it, and its own
+//! memory says whether it has. Whoever else gets the ticket passes it to the issuer. When the issuer is gone nobody
+//! can know, and the honest answer is "may have run". An issuer that stops as planned leaves word of which tickets it
+//! redeemed, so that for all others "not run" stays true.
+//!
+//! # What is remembered, and for how long
+//!
+//! Nothing is stored for a ticket that was issued but not redeemed: its issue time and service are in it, under a
+//! keyed hash that only the issuer can make. A redemption is remembered for as long as its ticket could come back
+//! (its life) and as long again, so that an expired ticket without a redemption is known not to have run. Answers are
+//! kept within a budget of bytes, the oldest dropped first; a retry then learns that the request ran and that the
+//! answer is gone.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use thiserror::Error;
+
+use crate::Timestamp;
+use crate::event::AnswerId;
+use crate::event::AnswerNote;
+use crate::event::RequestId;
+use crate::invariants::Invariant;
+use crate::invariants::Ledger;
+use crate::message::Refusal;
+use hawthornshift_model::Incarnation;
+use hawthornshift_model::InstanceId;
+use hawthornshift_model::ServiceId;
+
+/// Number of a ticket within its issuer's life.
+pub type Serial = u64;
+
+/// Length of the key that signs tickets, in bytes.
+pub const KEY_BYTES: usize = 32;
+/// Most redemptions remembered; beyond it new ones are refused as "not run".
+const MAX_REDEMPTIONS: usize = 200_000;
+/// Issuers whose last word is remembered.
+const MAX_CLOSED: usize = 1_024;
+/// Hexadecimal digits of the keyed hash in a ticket.
+const SIGNATURE_DIGITS: usize = 32;
+/// Longest ticket in bytes that is looked at.
+const MAX_TICKET_BYTES: usize = 160;
+
+/// What a ticket says in plain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Ticket {
+    /// Who issued it.
+    pub issuer: InstanceId,
+    /// In which life.
+    pub incarnation: Incarnation,
+    /// When, in milliseconds of the issuer's clock.
+    issued_ms: u64,
+    /// Its number.
+    pub serial: Serial,
+}
+
+/// A text that is not a ticket.
+#[derive(Debug, Error, Eq, PartialEq)]
+#[error("not a ticket")]
+pub struct NotATicket;
+
+impl Ticket {
+    /// Reads what a ticket says in plain; only the issuer can tell whether it is genuine.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a text of another shape.
+    pub fn parse(text: &str) -> Result<Self, NotATicket> {
+        let (ticket, _) = Self::split(text)?;
+        Ok(ticket)
+    }
+
+    fn split(text: &str) -> Result<(Self, &str), NotATicket> {
+        if text.len() > MAX_TICKET_BYTES {
+            return Err(NotATicket);
+        }
+        let parts: Vec<&str> = text.split('.').collect();
+        let [issuer, incarnation, issued_ms, serial, signature] = parts[..] else {
+            return Err(NotATicket);
+        };
+        let ticket = Self {
+            issuer: InstanceId::from_str_radix(issuer, 16).map_err(|_| NotATicket)?,
+            incarnation: number(incarnation)?,
+            issued_ms: number(issued_ms)?,
+            serial: number(serial)?,
+        };
+        Ok((ticket, signature))
+    }
+
+    fn plain(&self) -> String {
+        format!("{:x}.{:x}.{:x}.{:x}", self.issuer, self.incarnation, self.issued_ms, self.serial)
+    }
+}
+
+fn number(text: &str) -> Result<u64, NotATicket> {
+    u64::from_str_radix(text, 16).map_err(|_| NotATicket)
+}
+
+/// How a redemption stands.
+#[derive(Clone, Debug)]
+enum State {
+    /// The request runs; these others wait for the same answer.
+    Running { waiting: Vec<RequestId> },
+    /// The answer is kept.
+    Answered(AnswerNote),
+    /// It ran, and the answer is no longer kept.
+    AnswerDropped,
+    /// It may have run, and nothing more will be known.
+    Unknown(Refusal),
+}
+
+#[derive(Clone, Debug)]
+struct Redemption {
+    state: State,
+    forget_at: Timestamp,
+}
+
+/// What becomes of a ticket that is presented to its issuer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Presented {
+    /// It is redeemed now: run the request.
+    Run(Serial),
+    /// The request runs already: wait for its answer.
+    Wait,
+    /// It has run: here is its answer.
+    Answer(AnswerId),
+    /// It has run, and the answer is gone.
+    AnswerGone,
+    /// It was tried before, and may have run.
+    Unknown(Refusal),
+    /// The ticket was never given for this service by this life of this instance.
+    Invalid,
+    /// Its time is over and it never ran.
+    Expired,
+    /// Its time has been over for so long that nobody knows whether it ran.
+    Forgotten,
+    /// Too many redemptions are remembered to take another.
+    Full,
+}
+
+/// What is known of a ticket whose issuer has stopped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LastWord {
+    /// The issuer said that it never redeemed it.
+    NeverRedeemed,
+    /// The issuer said that it redeemed it.
+    Redeemed,
+    /// The issuer left no word.
+    None,
+}
+
+/// How an answered or failed run leaves its redemption.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Settlement {
+    /// Requests that waited for the same outcome.
+    pub waiting: Vec<RequestId>,
+    /// Answers dropped to stay within the budget.
+    pub dropped: Vec<AnswerId>,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunEnd {
+    /// With an answer.
+    Answered(AnswerNote),
+    /// Without running: the ticket may be presented again.
+    NotRun,
+    /// Nobody knows.
+    Unknown(Refusal),
+}
+
+/// The last word of an issuer that has stopped.
+#[derive(Clone, Debug)]
+struct Closed {
+    known_since_ms: u64,
+    redeemed: HashSet<Serial>,
+}
+
+/// The tickets that this life of this instance has issued.
+#[derive(Clone, Debug)]
+pub struct Tickets {
+    me: InstanceId,
+    incarnation: Incarnation,
+    key: [u8; KEY_BYTES],
+    life: Duration,
+    budget: usize,
+    next_serial: Serial,
+    redemptions: HashMap<Serial, Redemption>,
+    /// Answers kept, the oldest first.
+    answers: VecDeque<(Serial, usize)>,
+    answer_bytes: usize,
+    expiry: VecDeque<(Timestamp, Serial)>,
+    closed: BTreeMap<(InstanceId, Incarnation), Closed>,
+}
+
+impl Tickets {
+    /// Starts without a ticket; `key` must be random, and unknown to anyone else.
+    #[must_use]
+    pub fn new(me: InstanceId, incarnation: Incarnation, key: [u8; KEY_BYTES], life: Duration, budget: usize) -> Self {
+        Self {
+            me,
+            incarnation,
+            key,
+            life,
+            budget,
+            next_serial: 1,
+            redemptions: HashMap::new(),
+            answers: VecDeque::new(),
+            answer_bytes: 0,
+            expiry: VecDeque::new(),
+            closed: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the redemptions remembered.
+    #[must_use]
+    pub fn remembered(&self) -> usize {
+        self.redemptions.len()
+    }
+
+    /// Returns the bytes of the answers kept.
+    #[must_use]
+    pub fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    /// Issues a ticket for a request to `service`.
+    pub fn issue(&mut self, now: Timestamp, service: ServiceId) -> String {
+        let ticket = Ticket {
+            issuer: self.me,
+            incarnation: self.incarnation,
+            issued_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+            serial: self.next_serial,
+        };
+        self.next_serial += 1;
+        let plain = ticket.plain();
+        let signature = self.sign(&plain, service);
+        format!("{plain}.{}", &signature.to_hex()[..SIGNATURE_DIGITS])
+    }
+
+    fn sign(&self, plain: &str, service: ServiceId) -> blake3::Hash {
+        let mut hasher = blake3::Hasher::new_keyed(&self.key);
+        hasher.update(&service.to_le_bytes());
+        hasher.update(plain.as_bytes());
+        hasher.finalize()
+    }
+
+    /// Takes a ticket that names this life of this instance, and says what to do.
+    pub fn present(&mut self, now: Timestamp, text: &str, service: ServiceId, waiter: RequestId) -> Presented {
+        let Ok((ticket, signature)) = Ticket::split(text) else { return Presented::Invalid };
+        if !self.is_genuine(&ticket, signature, service) {
+            return Presented::Invalid;
+        }
+        if let Some(redemption) = self.redemptions.get_mut(&ticket.serial) {
+            return match &mut redemption.state {
+                State::Running { waiting } => {
+                    waiting.push(waiter);
+                    Presented::Wait
+                }
+                State::Answered(answer) => Presented::Answer(answer.id),
+                State::AnswerDropped => Presented::AnswerGone,
+                State::Unknown(refusal) => Presented::Unknown(*refusal),
+            };
+        }
+        let age = now.saturating_sub(Duration::from_millis(ticket.issued_ms));
+        if age >= self.life * 2 {
+            return Presented::Forgotten;
+        }
+        if age >= self.life {
+            return Presented::Expired;
+        }
+        if self.redemptions.len() >= MAX_REDEMPTIONS {
+            return Presented::Full;
+        }
+        self.redeem(now, ticket.serial);
+        Presented::Run(ticket.serial)
+    }
+
+    fn is_genuine(&self, ticket: &Ticket, signature: &str, service: ServiceId) -> bool {
+        let ours = ticket.issuer == self.me && ticket.incarnation == self.incarnation;
+        let expected = self.sign(&ticket.plain(), service).to_hex();
+        // Hashes are compared in constant time, so that a signature cannot be guessed digit by digit.
+        let digest = |text: &str| blake3::hash(text.as_bytes());
+        ours && ticket.serial < self.next_serial && digest(signature) == digest(&expected[..SIGNATURE_DIGITS])
+    }
+
+    fn redeem(&mut self, now: Timestamp, serial: Serial) {
+        // Kept for twice the life from now, which is later than twice the life from issue.
+        let forget_at = now + self.life * 2;
+        let redemption = Redemption { state: State::Running { waiting: Vec::new() }, forget_at };
+        self.redemptions.insert(serial, redemption);
+        self.expiry.push_back((forget_at, serial));
+    }
+
+    /// Notes how the run of a redeemed ticket ended.
+    pub fn settle(&mut self, serial: Serial, end: RunEnd, ledger: &mut Ledger) -> Settlement {
+        let Some(redemption) = self.redemptions.get_mut(&serial) else { return Settlement::default() };
+        let state = match end {
+            RunEnd::Answered(answer) => State::Answered(answer),
+            RunEnd::Unknown(refusal) => State::Unknown(refusal),
+            RunEnd::NotRun => State::Running { waiting: Vec::new() },
+        };
+        let former = std::mem::replace(&mut redemption.state, state);
+        let State::Running { waiting } = former else {
+            // A second end of one ticket means that it ran twice.
+            ledger.assert(false, Invariant::TicketRunsOnce);
+            return Settlement::default();
+        };
+        if end == RunEnd::NotRun {
+            self.redemptions.remove(&serial);
+        }
+        if let RunEnd::Answered(answer) = end {
+            self.answers.push_back((serial, answer.size));
+            self.answer_bytes += answer.size;
+        }
+        Settlement { waiting, dropped: self.shrink() }
+    }
+
+    /// Drops the oldest answers until the rest fit the budget.
+    fn shrink(&mut self) -> Vec<AnswerId> {
+        let mut dropped = Vec::new();
+        while self.answer_bytes > self.budget {
+            let Some((serial, size)) = self.answers.pop_front() else { break };
+            self.answer_bytes -= size;
+            let Some(redemption) = self.redemptions.get_mut(&serial) else { continue };
+            if let State::Answered(answer) = redemption.state {
+                dropped.push(answer.id);
+                redemption.state = State::AnswerDropped;
+            }
+        }
+        dropped
+    }
+
+    /// Takes a request off the list of those that wait for an answer.
+    pub fn stop_waiting(&mut self, request: RequestId) {
+        for redemption in self.redemptions.values_mut() {
+            if let State::Running { waiting } = &mut redemption.state {
+                waiting.retain(|waiter| *waiter != request);
+            }
+        }
+    }
+
+    /// Forgets redemptions whose tickets are long over; returns the answers to drop.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<AnswerId> {
+        let mut dropped = Vec::new();
+        while let Some((_, serial)) = self.expiry.pop_front_if(|(at, _)| *at <= now) {
+            let due = self.redemptions.get(&serial).is_some_and(|redemption| redemption.forget_at <= now);
+            let running = matches!(
+                self.redemptions.get(&serial).map(|redemption| &redemption.state),
+                Some(State::Running { .. })
+            );
+            if running {
+                self.expiry.push_back((now + self.life, serial));
+                break;
+            }
+            if !due {
+                continue;
+            }
+            if let Some(Redemption { state: State::Answered(answer), .. }) = self.redemptions.remove(&serial) {
+                dropped.push(answer.id);
+                self.answer_bytes = self.answer_bytes.saturating_sub(answer.size);
+                self.answers.retain(|(kept, _)| *kept != serial);
+            }
+        }
+        dropped
+    }
+
+    /// Returns the serials of all redeemed tickets that could still come back.
+    #[must_use]
+    pub fn redeemed(&self) -> Vec<Serial> {
+        let mut serials: Vec<Serial> = self.redemptions.keys().copied().collect();
+        serials.sort_unstable();
+        serials
+    }
+
+    /// Returns the issue time, in milliseconds of this instance's clock, from which on every redemption is remembered.
+    #[must_use]
+    pub fn known_since_ms(&self, now: Timestamp) -> u64 {
+        u64::try_from(now.saturating_sub(self.life * 2).as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Notes the last word of an issuer that has stopped.
+    pub fn issuer_closed(
+        &mut self,
+        issuer: InstanceId,
+        incarnation: Incarnation,
+        known_since_ms: u64,
+        redeemed: &[Serial],
+    ) {
+        while self.closed.len() >= MAX_CLOSED {
+            self.closed.pop_first();
+        }
+        let closed = Closed { known_since_ms, redeemed: redeemed.iter().copied().collect() };
+        self.closed.insert((issuer, incarnation), closed);
+    }
+
+    /// Returns what is known of a ticket whose issuer has stopped.
+    #[must_use]
+    pub fn last_word(&self, ticket: &Ticket) -> LastWord {
+        match self.closed.get(&(ticket.issuer, ticket.incarnation)) {
+            None => LastWord::None,
+            Some(closed) if closed.redeemed.contains(&ticket.serial) => LastWord::Redeemed,
+            // So old that its redemption, if there was one, had been forgotten when the issuer stopped.
+            Some(closed) if ticket.issued_ms < closed.known_since_ms => LastWord::None,
+            Some(_) => LastWord::NeverRedeemed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/flow.rs
@@ -0,0 +1,37 @@
+//! What tells one flow from another.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::ServiceId;
+
+/// One caller's flow to one service.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FlowKey {
+    /// The service that the caller addressed.
+    pub service: ServiceId,
+    /// The caller's address and port.
+    pub caller: SocketAddr,
+}
+
+impl FlowKey {
+    /// Returns the 64-bit value that every instance ranks by; equal on all of them.
+    #[must_use]
+    pub fn hash64(&self) -> u64 {
+        let mut buf = [0_u8; KEY_BYTES];
+        match self.caller.ip() {
+            IpAddr::V4(ip) => buf[..16].copy_from_slice(&ip.to_ipv6_mapped().octets()),
+            IpAddr::V6(ip) => buf[..16].copy_from_slice(&ip.octets()),
+        }
+        buf[16..].copy_from_slice(&self.caller.port().to_be_bytes());
+        xxh3_64_with_seed(&buf, self.service)
+    }
+}
+
+/// Bytes of an IPv6 address and a port.
+const KEY_BYTES: usize = 18;
--- /dev/null
+++ b/src/bin/hawthornshift.rs
@@ -0,0 +1,11 @@
+//! The process of one instance.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    // Variables that are not text cannot be settings.
+    let variables =
+        std::env::vars_os().filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)));
+    hawthornshift_cli::run_instance(&args, &variables.collect()).into()
+}
