--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -1,12 +1,12 @@
 //! A checked set, compiled for look-ups.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::maps::Map;
 use crate::rendezvous;
 use hawthornshift_model::CheckedSet;
 use hawthornshift_model::Class;
@@ -104,9 +104,9 @@
     digest: u64,
     domains: Vec<DomainEntry>,
     groups: Vec<GroupEntry>,
-    services: HashMap<ServiceId, ServiceEntry>,
-    targets: HashMap<TargetId, TargetEntry>,
-    by_address: HashMap<SocketAddr, TargetId>,
+    services: Map<ServiceId, ServiceEntry>,
+    targets: Map<TargetId, TargetEntry>,
+    by_address: Map<SocketAddr, TargetId>,
 }
 
 impl Catalog {
--- a/crates/core/src/flows/mod.rs
+++ b/crates/core/src/flows/mod.rs
@@ -313,7 +313,7 @@
         if arrival.hops_left < 2 {
             return None;
         }
-        let candidates = self.chain.candidates(key.service, hash, self.me, cx.view.digest());
+        let candidates = self.chain.candidates(key.service, hash, self.me);
         let mut candidates = candidates.into_iter().enumerate().skip(next.into());
         let (position, earlier) = candidates.find(|(_, earlier)| may_get_packets(now, *earlier, cx))?;
         let position = u8::try_from(position).ok()?;
@@ -353,7 +353,7 @@
         ledger.assert(!target.leaving, Invariant::LeavingTargetGetsNothing);
         ledger.assert(cx.view.catalog().domains()[target.domain].in_service, Invariant::OutDomainSilent);
         let note = note(cx.view.catalog(), target);
-        let Some(channel) = self.table.insert_here(now, key, &note) else {
+        let Some(channel) = self.table.insert_here(now, key, &note, 0) else {
             return self.drop(DropReason::TableFull);
         };
         self.counts.opened += 1;
@@ -432,46 +432,68 @@
         self.telling.restart();
     }
 
+    /// Takes note that this instance has found its place: whatever flows there are, the homes of the fleet without it
+    /// hold them.
+    pub fn joined(&mut self, now: Timestamp, before: View) {
+        self.chain.restart(now, before);
+    }
+
     /// Takes note that an instance has told everything it had for this one under a view.
     pub fn peer_settled(&mut self, from: InstanceId, view: u64) {
         self.chain.settled(from, view);
     }
 
-    /// Takes over a batch of flows, or notes where they are.
-    pub fn absorb(&mut self, now: Timestamp, from: InstanceId, batch: &FlowBatch, cx: Surroundings<'_>) {
-        let service = cx.view.catalog().service(batch.service);
-        for caller in &batch.callers {
-            let key = FlowKey { service: batch.service, caller: *caller };
-            let known = self.table.get(&key);
-            if let Some(Holder::Here { .. }) = known {
-                // Both serve the flow. Its packets come here from now on, so the record here holds.
-                self.counts.conflicts += 1;
+    /// Takes over a batch of flows, or notes where they are; returns those of which this instance holds an elder
+    /// record.
+    ///
+    /// Two instances can come to hold one flow: each side of a partition starts it, or a packet overtakes the word of
+    /// where it is. Left alone, packets would go to one target or the other depending on where they enter. The elder
+    /// record holds, for that target has the flow's history.
+    pub fn absorb(
+        &mut self,
+        now: Timestamp,
+        from: InstanceId,
+        batch: &FlowBatch,
+        cx: Surroundings<'_>,
+    ) -> Vec<SocketAddr> {
+        let mut superseded = Vec::new();
+        for flow in &batch.flows {
+            let key = FlowKey { service: batch.service, caller: flow.caller };
+            let own = self.table.age_ms(now, &key);
+            self.counts.conflicts += u64::from(own.is_some());
+            if own.is_some_and(|age_ms| age_ms >= flow.age_ms) {
+                superseded.push(flow.caller);
             } else if batch.handover {
-                if self.table.insert_here(now, key, &batch.target).is_some() {
-                    self.counts.taken_over += 1;
-                }
-                if let Some(service) = service {
-                    self.note_stray(key.hash64(), service, cx);
-                }
+                self.take_over(now, key, flow.age_ms, &batch.target, cx);
             } else {
+                self.table.give_away(now, &key);
                 self.table.insert_elsewhere(now, key, from);
             }
         }
         // A target taken over may be one that this instance's set has already closed.
         self.table.revalidate(cx.view.catalog());
+        superseded
     }
 
-    /// Notes that a batch has arrived; flows handed over are no longer held here.
-    pub fn batch_acknowledged(&mut self, now: Timestamp, sequence: u64) {
-        let Some(batch) = self.telling.acknowledged(sequence) else { return };
-        let count = u64::try_from(batch.callers.len()).unwrap_or(u64::MAX);
-        if !batch.handover {
-            self.counts.told += count;
-            return;
+    fn take_over(&mut self, now: Timestamp, key: FlowKey, age_ms: u32, target: &TargetNote, cx: Surroundings<'_>) {
+        if self.table.insert_here(now, key, target, age_ms).is_some() {
+            self.counts.taken_over += 1;
         }
-        self.counts.handed_over += count;
-        for caller in &batch.callers {
-            self.table.give_away(now, &FlowKey { service: batch.service, caller: *caller });
+        if let Some(service) = cx.view.catalog().service(key.service) {
+            self.note_stray(key.hash64(), service, cx);
+        }
+    }
+
+    /// Notes that a batch has arrived; flows handed over, or superseded by an elder record, are no longer held here.
+    pub fn batch_acknowledged(&mut self, now: Timestamp, sequence: u64, superseded: &[SocketAddr]) {
+        let Some(batch) = self.telling.acknowledged(sequence) else { return };
+        for flow in &batch.flows {
+            let lost = superseded.contains(&flow.caller);
+            self.counts.handed_over += u64::from(batch.handover && !lost);
+            self.counts.told += u64::from(!batch.handover && !lost);
+            if batch.handover || lost {
+                self.table.give_away(now, &FlowKey { service: batch.service, caller: flow.caller });
+            }
         }
     }
 
@@ -479,7 +501,8 @@
     pub fn tick(&mut self, now: Timestamp, cx: Surroundings<'_>) -> FlowNews {
         let catalog = cx.view.catalog();
         self.counts.expired += self.table.expire(now, |service| catalog.service(service).map(|entry| entry.idle));
-        self.chain.expire(now);
+        let others = cx.members.reachable().map(|update| update.id);
+        self.chain.expire(now, cx.view.digest(), others);
         self.telling.tick(now, self.me, &self.table, cx)
     }
 }
--- a/crates/core/src/flows/table.rs
+++ b/crates/core/src/flows/table.rs
@@ -3,7 +3,6 @@
 //! Records are small and fixed, so that a table of hundreds of thousands stays within an instance's memory. Expiry
 //! walks the slab a slice at a time; no packet ever waits for a full pass.
 
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,6 +12,7 @@
 use crate::Timestamp;
 use crate::catalog::Catalog;
 use crate::event::Channel;
+use crate::maps::Map;
 use crate::message::TargetNote;
 use hawthornshift_model::FlowKey;
 use hawthornshift_model::InstanceId;
@@ -72,6 +72,8 @@
 struct Record {
     key: FlowKey,
     state: State,
+    /// Start of the flow, in milliseconds as below.
+    opened: u32,
     /// Last packet, in milliseconds on the process's clock, which wraps after 49 days.
     touched: u32,
 }
@@ -167,10 +169,10 @@
     vacant: Vec<SlotIndex>,
     index: HashTable<SlotIndex>,
     seats: Vec<Seat>,
-    by_pair: HashMap<(ServiceId, TargetId), SeatIndex>,
-    by_target: HashMap<TargetId, Vec<SeatIndex>>,
+    by_pair: Map<(ServiceId, TargetId), SeatIndex>,
+    by_target: Map<TargetId, Vec<SeatIndex>>,
     ports: Vec<Ports>,
-    by_address: HashMap<SocketAddr, usize>,
+    by_address: Map<SocketAddr, usize>,
     capacity: usize,
     held: usize,
     elsewhere: usize,
@@ -186,10 +188,10 @@
             vacant: Vec::new(),
             index: HashTable::new(),
             seats: Vec::new(),
-            by_pair: HashMap::new(),
-            by_target: HashMap::new(),
+            by_pair: Map::default(),
+            by_target: Map::default(),
             ports: Vec::new(),
-            by_address: HashMap::new(),
+            by_address: Map::default(),
             capacity,
             held: 0,
             elsewhere: 0,
@@ -229,22 +231,40 @@
     }
 
     /// Looks at every target anew, since the set in force has changed.
+    ///
+    /// A block is for good. Were it lifted when a failure domain comes back, flows that their callers have long moved
+    /// elsewhere would jump back to where they were. New flows to the same target get a new seat.
     pub fn revalidate(&mut self, catalog: &Catalog) {
-        for seat in &mut self.seats {
+        let Self { seats, by_pair, by_target, .. } = self;
+        for (index, seat) in seats.iter_mut().enumerate().filter(|(_, seat)| seat.block.is_none()) {
             seat.block = seat.find_block(catalog);
+            if seat.block.is_none() {
+                continue;
+            }
+            by_pair.remove(&(seat.service, seat.note.id));
+            if let Some(others) = by_target.get_mut(&seat.note.id) {
+                others.retain(|other| *other as usize != index);
+            }
         }
     }
 
-    /// Returns the flow held here at a position of the slab.
+    /// Returns the flow held here at a position of the slab, with its target and its age in milliseconds.
     #[must_use]
-    pub fn held_at(&self, position: usize) -> Option<(FlowKey, SeatIndex)> {
+    pub fn held_at(&self, now: Timestamp, position: usize) -> Option<(FlowKey, SeatIndex, u32)> {
         let record = self.records.get(position)?;
         match record.state {
-            State::Here { seat, .. } => Some((record.key, seat)),
+            State::Here { seat, .. } => Some((record.key, seat, stamp(now).wrapping_sub(record.opened))),
             _ => None,
         }
     }
 
+    /// Returns the age in milliseconds of a flow held here.
+    #[must_use]
+    pub fn age_ms(&self, now: Timestamp, key: &FlowKey) -> Option<u32> {
+        let record = self.records[self.find(key)? as usize];
+        matches!(record.state, State::Here { .. }).then(|| stamp(now).wrapping_sub(record.opened))
+    }
+
     fn find(&self, key: &FlowKey) -> Option<SlotIndex> {
         self.index.find(key.hash64(), |slot| self.records[*slot as usize].key == *key).copied()
     }
@@ -264,8 +284,9 @@
         Some(holder)
     }
 
-    /// Adds a flow held here; returns its channel, or none when the table or the target has no room.
-    pub fn insert_here(&mut self, now: Timestamp, key: FlowKey, note: &TargetNote) -> Option<Channel> {
+    /// Adds a flow held here, started `age_ms` milliseconds ago; returns its channel, or none when the table or the
+    /// target has no room.
+    pub fn insert_here(&mut self, now: Timestamp, key: FlowKey, note: &TargetNote, age_ms: u32) -> Option<Channel> {
         // Someone else's hold, or the tail of a hold given away, ends here.
         self.remove(now, &key);
         let slot = self.take_slot(now, key)?;
@@ -276,7 +297,9 @@
             return None;
         };
         self.seats[seat as usize].live += 1;
-        self.records[slot as usize].state = State::Here { seat, channel };
+        let record = &mut self.records[slot as usize];
+        record.state = State::Here { seat, channel };
+        record.opened = stamp(now).wrapping_sub(age_ms);
         self.held += 1;
         self.link(&key, slot);
         Some(channel)
@@ -292,7 +315,7 @@
     }
 
     fn take_slot(&mut self, now: Timestamp, key: FlowKey) -> Option<SlotIndex> {
-        let record = Record { key, state: State::Vacant, touched: stamp(now) };
+        let record = Record { key, state: State::Vacant, opened: stamp(now), touched: stamp(now) };
         if let Some(slot) = self.vacant.pop() {
             self.records[slot as usize] = record;
             return Some(slot);
@@ -399,7 +422,7 @@
         let mut expired = 0;
         for _ in 0..step {
             self.cursor = if self.cursor + 1 >= self.records.len() { 0 } else { self.cursor + 1 };
-            let Record { key, state, touched } = self.records[self.cursor];
+            let Record { key, state, touched, .. } = self.records[self.cursor];
             let limit = match state {
                 State::Vacant => continue,
                 State::GivenAway { .. } => REPLY_TAIL,
--- a/crates/core/src/flows/telling.rs
+++ b/crates/core/src/flows/telling.rs
@@ -7,7 +7,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 
 use super::FlowNews;
 use super::Surroundings;
@@ -15,6 +14,7 @@
 use super::table::SeatIndex;
 use crate::Timestamp;
 use crate::message::FlowBatch;
+use crate::message::FlowNote;
 use crate::message::Sequence;
 use hawthornshift_model::InstanceId;
 
@@ -38,7 +38,7 @@
 }
 
 /// Flows that wait to be told, by addressee, target and whether they are handed over.
-type Backlog = BTreeMap<(InstanceId, SeatIndex, bool), Vec<SocketAddr>>;
+type Backlog = BTreeMap<(InstanceId, SeatIndex, bool), Vec<FlowNote>>;
 
 /// What is left to tell.
 #[derive(Clone, Debug, Default)]
@@ -86,7 +86,7 @@
         if self.dirty && self.is_idle() {
             self.cursor = Some(0);
         }
-        self.scan(me, table, cx);
+        self.scan(now, me, table, cx);
         let mut news = FlowNews::default();
         self.resend(now, &mut news);
         self.send(now, table, &mut news);
@@ -97,7 +97,7 @@
         news
     }
 
-    fn scan(&mut self, me: InstanceId, table: &FlowTable, cx: Surroundings<'_>) {
+    fn scan(&mut self, now: Timestamp, me: InstanceId, table: &FlowTable, cx: Surroundings<'_>) {
         let Some(start) = self.cursor else { return };
         if start == 0 {
             self.dirty = false;
@@ -105,14 +105,14 @@
         let end = table.span().min(start + SCAN_SLICE);
         let handover = !cx.view.serves(me);
         for position in start..end {
-            let Some((key, seat)) = table.held_at(position) else { continue };
+            let Some((key, seat, age_ms)) = table.held_at(now, position) else { continue };
             let Some(service) = cx.view.catalog().service(key.service) else { continue };
             if !cx.view.catalog().domain_in_service(&table.seat(seat).note().failure_domain) {
                 continue;
             }
             let home = cx.view.home(key.hash64(), service);
             if let Some(home) = home.filter(|home| *home != me) {
-                self.backlog.entry((home, seat, handover)).or_default().push(key.caller);
+                self.backlog.entry((home, seat, handover)).or_default().push(FlowNote { caller: key.caller, age_ms });
             }
         }
         self.cursor = (end < table.span()).then_some(end);
@@ -135,7 +135,7 @@
             let Some(mut entry) = self.backlog.first_entry() else { return };
             let (to, seat, handover) = *entry.key();
             let rest = entry.get().len().saturating_sub(BATCH);
-            let callers = entry.get_mut().split_off(rest);
+            let flows = entry.get_mut().split_off(rest);
             if entry.get().is_empty() {
                 entry.remove();
             }
@@ -146,7 +146,7 @@
                 service: seat.service(),
                 target: seat.note().clone(),
                 handover,
-                callers,
+                flows,
             };
             news.batches.push((to, batch.clone()));
             self.pending.insert(self.next_sequence, Pending { to, batch, sent: now, sends: 1 });
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -3,14 +3,13 @@
 //! A target's keeper probes it and sees its answers; the other instances of the failure domain, which send flows
 //! there, learn of it by heartbeats. News is a hint with an age: without fresh news a target counts as usable.
 
-use std::collections::HashMap;
-
 use serde::Deserialize;
 use serde::Serialize;
 use strum::Display;
 use strum::IntoStaticStr;
 
 use crate::Timestamp;
+use crate::maps::Map;
 use crate::message::TargetNews;
 use hawthornshift_model::TargetId;
 
@@ -35,7 +34,7 @@
 /// News of targets, each with the time it came.
 #[derive(Clone, Debug, Default)]
 pub struct HealthBook {
-    news: HashMap<TargetId, (TargetStatus, Timestamp)>,
+    news: Map<TargetId, (TargetStatus, Timestamp)>,
 }
 
 impl HealthBook {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod health;
 pub mod invariants;
 pub mod keeper;
+pub mod maps;
 pub mod membership;
 pub mod message;
 pub mod node;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -342,10 +342,17 @@
 
     /// Pings several instances at once, to refresh a view that may be old.
     pub fn refresh(&mut self, now: Timestamp, rng: &mut SmallRng, count: usize) -> Vec<Signal> {
-        let subjects = self.reachable().map(|update| update.id).choose_multiple(rng, count);
+        let candidates = self.members().filter(|update| update.state != MemberState::Dead);
+        let subjects = candidates.map(|update| update.id).choose_multiple(rng, count);
         subjects.into_iter().map(|subject| self.ping(now, subject, None)).collect()
     }
 
+    /// Returns the number that the next ping will have.
+    #[must_use]
+    pub fn next_sequence(&self) -> Sequence {
+        self.next_sequence
+    }
+
     fn ping(&mut self, now: Timestamp, subject: InstanceId, on_behalf: Option<(InstanceId, Sequence)>) -> Signal {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -74,6 +74,9 @@
     FlowBatchAck {
         /// The batch's number.
         sequence: Sequence,
+        /// Flows of which the receiver of the batch holds an elder record: the sender drops its own.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        superseded: Vec<SocketAddr>,
     },
     /// Says that every flow that the receiver is home of under the named view has been told.
     Settled {
@@ -196,8 +199,18 @@
     pub target: TargetNote,
     /// Whether the receiver takes the flows over; else the sender keeps them and wants their packets.
     pub handover: bool,
-    /// The flows' callers.
-    pub callers: Vec<SocketAddr>,
+    /// The flows.
+    pub flows: Vec<FlowNote>,
+}
+
+/// One flow of a batch.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FlowNote {
+    /// Who it is from.
+    pub caller: SocketAddr,
+    /// Milliseconds since it was started; of two records of one flow the elder holds.
+    pub age_ms: u32,
 }
 
 /// A target, described whole, since the receiver's set may no longer name it.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -58,6 +58,11 @@
 const REFRESH_PEERS: usize = 3;
 /// Time that the last word of a stopping instance is given to reach its peers.
 const FAREWELL: Duration = Duration::from_millis(200);
+/// Time after which an instance that has just started, or woken late, serves although no peer has confirmed its view:
+/// it is alone, or cut off, and then serves what it can.
+const FENCE_LIMIT: Duration = Duration::from_secs(2);
+/// Time between two rounds of pings while a view is to be confirmed.
+const REFRESH_PERIOD: Duration = Duration::from_millis(150);
 /// Shortest time a planned stop takes, so that every peer has left this instance out of its view before it ends.
 const MIN_DRAIN: Duration = Duration::from_secs(1);
 
@@ -90,13 +95,20 @@
     }
 }
 
-/// Why a node decides nothing new until it has refreshed its view.
+/// A node behind a fence decides nothing new until a peer has confirmed its view.
+///
+/// It is there after the start, when the node knows nobody yet and would take every flow for a new one of its own,
+/// and after a pause, when others may have taken over what the node held.
 #[derive(Clone, Copy, Debug)]
 struct Fence {
-    /// Pings numbered from here on were sent after the pause.
+    /// Pings numbered from here on were sent behind the fence.
     first_sequence: Sequence,
-    /// When it goes on all the same: it may be cut off, and then serves what it can.
+    /// When the node goes on all the same.
     until: Timestamp,
+    /// When the next peers are asked.
+    next_refresh: Timestamp,
+    /// Whether the node has just started.
+    joining: bool,
 }
 
 /// One instance's decisions.
@@ -136,7 +148,7 @@
             phase: Phase::Starting,
             started: now,
             last_input: now,
-            fence: None,
+            fence: Some(Fence { first_sequence: 0, until: now + FENCE_LIMIT, next_refresh: now, joining: true }),
             next_tick: now,
             membership: Membership::new(identity, tuning.clone()),
             configuration: Configuration::default(),
@@ -219,7 +231,10 @@
             Input::SetUnchanged => self.platform_answered(now, Resource::Set),
             Input::InstancesRead(list) => self.instances_read(now, &list, out),
             Input::InstancesUnchanged => self.platform_answered(now, Resource::Instances),
-            Input::PlatformFailed(resource) => self.platform.failed(now, resource, &mut self.rng),
+            Input::PlatformFailed(resource) => {
+                let watches = PlatformReader::watches(&self.view, self.membership.me());
+                self.platform.failed(now, resource, watches, &mut self.rng);
+            }
             Input::Probed { target, report } => self.probed(now, target, report, out),
             Input::StreamOpened { stream, service, caller } => {
                 self.stream_opened(now, stream, FlowKey { service, caller }, out);
@@ -291,23 +306,41 @@
             return;
         }
         out.push(Output::Notice(Notice::WokeLate { gap }));
-        let signals = self.membership.refresh(now, &mut self.rng, REFRESH_PEERS);
-        let first = signals.iter().find_map(|signal| match signal {
-            Signal::Ping { sequence, .. } => Some(*sequence),
-            _ => None,
-        });
-        if let Some(first_sequence) = first {
-            self.fence = Some(Fence { first_sequence, until: now + self.tuning.suspicion });
-        }
+        let joining = self.fence.is_some_and(|fence| fence.joining);
+        let first_sequence = self.membership.next_sequence();
+        self.fence = Some(Fence { first_sequence, until: now + FENCE_LIMIT, next_refresh: now, joining });
         self.platform.hurry(now);
-        self.send_signals(signals, out);
+        self.tick_fence(now, out);
+    }
+
+    /// Asks peers to confirm the view, or goes on without them when the time is over.
+    fn tick_fence(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        let Some(fence) = &mut self.fence else { return };
+        if now >= fence.until && self.configuration.revision() > 0 {
+            self.lift_fence(now);
+        } else if now >= fence.next_refresh {
+            fence.next_refresh = now + REFRESH_PERIOD;
+            let signals = self.membership.refresh(now, &mut self.rng, REFRESH_PEERS);
+            self.send_signals(signals, out);
+        }
     }
 
-    fn lift_fence(&mut self, now: Timestamp, acknowledged: Option<Sequence>) {
+    /// Lifts the fence when the answer to a ping sent behind it shows that the peer's view is this node's own.
+    fn confirm_view(&mut self, now: Timestamp, sequence: Sequence, view: u64) {
         let Some(fence) = self.fence else { return };
-        let fresh = acknowledged.is_some_and(|sequence| sequence >= fence.first_sequence);
-        if fresh || now >= fence.until {
-            self.fence = None;
+        let own = self.configuration.revision() > 0 && view == self.view.digest();
+        if own && sequence >= fence.first_sequence {
+            self.lift_fence(now);
+        }
+    }
+
+    fn lift_fence(&mut self, now: Timestamp) {
+        let joining = self.fence.take().is_some_and(|fence| fence.joining);
+        if joining {
+            let me = self.membership.me().id;
+            let others = self.membership.serving().filter(|(seat, _)| seat.id != me);
+            let before = View::new(Arc::clone(self.configuration.catalog()), others);
+            self.flows.joined(now, before);
         }
     }
 
@@ -316,7 +349,7 @@
             return;
         }
         self.next_tick = now + TICK;
-        self.lift_fence(now, None);
+        self.tick_fence(now, out);
         let signals = self.membership.tick(now, &mut self.rng);
         self.send_signals(signals, out);
         self.follow_members(now, out);
@@ -449,9 +482,11 @@
             }
             PeerMessage::Ack(heartbeat) => {
                 let signal = self.membership.acknowledged(now, heartbeat.sequence, from);
-                self.lift_fence(now, Some(heartbeat.sequence));
+                let (sequence, view) = (heartbeat.sequence, heartbeat.view);
                 self.take_heartbeat(now, from, heartbeat, out);
                 self.send_signals(signal, out);
+                self.follow_members(now, out);
+                self.confirm_view(now, sequence, view);
             }
             PeerMessage::IndirectPing { sequence, subject } => {
                 let signal = self.membership.ping_for(now, subject, from, sequence);
@@ -464,10 +499,17 @@
             PeerMessage::SetOffer { set } => self.take_set(now, *set, out),
             PeerMessage::FlowBatch(batch) => {
                 let Self { flows, view, membership, health, configuration, fence, .. } = self;
-                flows.absorb(now, from, &batch, surroundings(view, membership, health, configuration, fence.as_ref()));
-                self.send(from, PeerMessage::FlowBatchAck { sequence: batch.sequence }, out);
+                let superseded = flows.absorb(
+                    now,
+                    from,
+                    &batch,
+                    surroundings(view, membership, health, configuration, fence.as_ref()),
+                );
+                self.send(from, PeerMessage::FlowBatchAck { sequence: batch.sequence, superseded }, out);
+            }
+            PeerMessage::FlowBatchAck { sequence, superseded } => {
+                self.flows.batch_acknowledged(now, sequence, &superseded);
             }
-            PeerMessage::FlowBatchAck { sequence } => self.flows.batch_acknowledged(now, sequence),
             PeerMessage::Settled { view } => self.flows.peer_settled(from, view),
             PeerMessage::KeeperRelease { target, running } => {
                 self.keeper.released_by(now, from, target, running);
--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -5,7 +5,6 @@
 //! at random times, in case the watcher is cut off or stuck. After a failure reads back off, also at random, so that
 //! a platform that comes back is not met by everyone at once.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::Rng;
@@ -13,6 +12,7 @@
 
 use crate::Timestamp;
 use crate::event::Resource;
+use crate::maps::Map;
 use crate::message::MemberUpdate;
 use crate::rendezvous;
 use crate::view::View;
@@ -21,8 +21,12 @@
 const WATCH: Duration = Duration::from_secs(10);
 /// Time between two reads that a watcher leaves at the least.
 const WATCH_GAP: Duration = Duration::from_millis(100);
-/// First and longest pause after a failure.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(15));
+/// First pause after a failure.
+const FIRST_BACKOFF: Duration = Duration::from_millis(500);
+/// Longest pause of one that watches: what operators published meanwhile waits for it.
+const WATCHER_BACKOFF: Duration = Duration::from_secs(2);
+/// Longest pause of one that does not watch.
+const READER_BACKOFF: Duration = Duration::from_secs(15);
 /// Time after which a read that was never answered is given up.
 const LOST: Duration = Duration::from_secs(30);
 /// What the watcher of a failure domain is ranked by.
@@ -38,7 +42,7 @@
 /// When to read what.
 #[derive(Clone, Debug)]
 pub struct PlatformReader {
-    schedules: HashMap<Resource, Schedule>,
+    schedules: Map<Resource, Schedule>,
     fallback: Duration,
 }
 
@@ -93,11 +97,11 @@
     }
 
     /// Notes a failure.
-    pub fn failed(&mut self, now: Timestamp, resource: Resource, rng: &mut SmallRng) {
+    pub fn failed(&mut self, now: Timestamp, resource: Resource, watches: bool, rng: &mut SmallRng) {
         let Some(schedule) = self.schedules.get_mut(&resource) else { return };
         schedule.outstanding = None;
-        let (first, longest) = BACKOFF;
-        let pause = first.saturating_mul(1 << schedule.failures.min(16)).min(longest);
+        let longest = if watches { WATCHER_BACKOFF } else { READER_BACKOFF };
+        let pause = FIRST_BACKOFF.saturating_mul(1 << schedule.failures.min(16)).min(longest);
         schedule.failures = schedule.failures.saturating_add(1);
         schedule.next = now + pause.mul_f64(rng.random_range(0.5..1.0));
     }
--- a/crates/core/src/requests/mod.rs
+++ b/crates/core/src/requests/mod.rs
@@ -17,7 +17,6 @@
 pub mod routing;
 
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -39,6 +38,7 @@
 use crate::keeper::Admission;
 use crate::keeper::Evidence;
 use crate::keeper::Keeper;
+use crate::maps::Map;
 use crate::membership::Membership;
 use crate::message::PassHead;
 use crate::message::PassPurpose;
@@ -162,7 +162,7 @@
 /// All requests that this instance has a part in.
 #[derive(Clone, Debug, Default)]
 pub struct Requests {
-    entries: HashMap<RequestId, Entry>,
+    entries: Map<RequestId, Entry>,
     deadlines: BTreeSet<(Timestamp, RequestId)>,
     routing: Routing,
     budget: RetryBudget,
--- a/crates/core/src/streams.rs
+++ b/crates/core/src/streams.rs
@@ -4,7 +4,6 @@
 //! stop waits for streams to end; a failure domain that is taken out closes those that lead into it.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use crate::Timestamp;
@@ -13,6 +12,7 @@
 use crate::event::StreamId;
 use crate::health::HealthBook;
 use crate::health::TargetStatus;
+use crate::maps::Map;
 use crate::rendezvous;
 use crate::view::View;
 use hawthornshift_model::FlowKey;
@@ -29,7 +29,7 @@
 /// The streams that this instance relays.
 #[derive(Clone, Debug, Default)]
 pub struct Streams {
-    streams: HashMap<StreamId, Stream>,
+    streams: Map<StreamId, Stream>,
     by_target: BTreeMap<TargetId, u32>,
 }
 
--- a/crates/core/src/tickets.rs
+++ b/crates/core/src/tickets.rs
@@ -14,8 +14,6 @@
 //! answer is gone.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -27,6 +25,8 @@
 use crate::event::RequestId;
 use crate::invariants::Invariant;
 use crate::invariants::Ledger;
+use crate::maps::Map;
+use crate::maps::Set;
 use crate::message::Refusal;
 use hawthornshift_model::Incarnation;
 use hawthornshift_model::InstanceId;
@@ -178,7 +178,7 @@
 #[derive(Clone, Debug)]
 struct Closed {
     known_since_ms: u64,
-    redeemed: HashSet<Serial>,
+    redeemed: Set<Serial>,
 }
 
 /// The tickets that this life of this instance has issued.
@@ -190,7 +190,7 @@
     life: Duration,
     budget: usize,
     next_serial: Serial,
-    redemptions: HashMap<Serial, Redemption>,
+    redemptions: Map<Serial, Redemption>,
     /// Answers kept, the oldest first.
     answers: VecDeque<(Serial, usize)>,
     answer_bytes: usize,
@@ -209,7 +209,7 @@
             life,
             budget,
             next_serial: 1,
-            redemptions: HashMap::new(),
+            redemptions: Map::default(),
             answers: VecDeque::new(),
             answer_bytes: 0,
             expiry: VecDeque::new(),
