Random faults: split flows become one, late wakers ask first

Cause: any_faults_keep_every_promise (crashes, pauses, cuts, outages besides planned changes) broke flows that nothing unplanned had touched.

Found by it, each with its cause: - An instance that woke late sent established flows on under its old view, also into a domain taken out meanwhile. Behind the fence it now sends nothing and starts no waiting request. - After waking it served its old records though others had taken over. It now asks the homes of the fleet without it first, for flows silent since. - An instance counted as dead by others, but not by itself, never told its flows again. It now does when it hears of its own death. - The home knew one holder of a flow; two holders elsewhere lasted for ever. The home now compares ages and idle times, and tells the loser to drop its record. Ruled out: elder always wins (a paused home would take abandoned flows back).

--- a/crates/core/src/flows/mod.rs
+++ b/crates/core/src/flows/mod.rs
@@ -28,6 +28,7 @@
 
 use self::chain::Chain;
 use self::table::FlowTable;
+use self::table::Found;
 use self::table::Holder;
 use self::table::SeatIndex;
 use self::telling::Telling;
@@ -53,6 +54,7 @@
 use crate::view::View;
 use hawthornshift_model::FlowKey;
 use hawthornshift_model::InstanceId;
+use hawthornshift_model::ServiceId;
 use hawthornshift_model::TargetId;
 
 /// Hops a packet may take: to the home, to and from each earlier home, and to a holder.
@@ -71,7 +73,7 @@
     pub health: &'a HealthBook,
     /// When the set in force was adopted.
     pub adopted_at: Timestamp,
-    /// Whether this instance may start new flows.
+    /// Whether this instance decides nothing until its view is confirmed.
     pub fenced: bool,
 }
 
@@ -117,6 +119,8 @@
     chain: Chain,
     telling: Telling,
     ramps: BTreeMap<TargetId, Ramp>,
+    /// When this instance woke from a pause. Another may have taken over the flows that had no packet since.
+    doubted: Option<Timestamp>,
     counts: FlowCounts,
 }
 
@@ -130,6 +134,7 @@
             chain: Chain::new(tuning.view_memory),
             telling: Telling::default(),
             ramps: BTreeMap::new(),
+            doubted: None,
             counts: FlowCounts::default(),
         }
     }
@@ -207,23 +212,34 @@
         let Some(service) = cx.view.catalog().service(key.service) else {
             return self.drop(DropReason::UnknownService);
         };
-        match self.table.touch(now, &key) {
-            Some(Holder::Here { seat, channel }) => {
-                if let Some(fate) = self.send_held(now, key, seat, channel, cx, ledger) {
-                    return fate;
-                }
-            }
-            Some(Holder::Instance(holder)) => {
-                if let Some(fate) = self.send_to_holder(key, holder, arrival, cx, now) {
-                    return fate;
-                }
-            }
-            None => {}
-        }
         if cx.fenced {
             return self.drop(DropReason::Fenced);
         }
-        self.decide_unknown(now, key, service, arrival, cx, ledger)
+        let returned = matches!(arrival.purpose, Purpose::Return { .. });
+        let found = self.table.touch(now, &key, self.doubted.filter(|_| !returned));
+        let known = found.and_then(|found| self.decide_known(now, key, found, arrival, cx, ledger));
+        known.unwrap_or_else(|| self.decide_unknown(now, key, service, arrival, cx, ledger))
+    }
+
+    /// Decides on a packet whose flow is known here; returns nothing when what is known no longer holds.
+    fn decide_known(
+        &mut self,
+        now: Timestamp,
+        key: FlowKey,
+        found: Found,
+        arrival: Arrival,
+        cx: Surroundings<'_>,
+        ledger: &mut Ledger,
+    ) -> Option<PacketFate> {
+        match found.holder {
+            Holder::Here { seat, channel } => {
+                let position = next_position(arrival.purpose);
+                let asked =
+                    found.doubtful.then(|| self.ask_earlier_home(now, key, key.hash64(), position, arrival, cx));
+                asked.flatten().or_else(|| self.send_held(now, key, seat, channel, cx, ledger))
+            }
+            Holder::Instance(holder) => self.send_to_holder(key, holder, arrival, cx, now),
+        }
     }
 
     /// Sends a held flow's packet to its target, or gives the flow up when it may get no more.
@@ -289,10 +305,7 @@
         {
             return fate;
         }
-        let next = match arrival.purpose {
-            Purpose::Return { position } => position.saturating_add(1),
-            _ => 0,
-        };
+        let next = next_position(arrival.purpose);
         if let Some(fate) = self.ask_earlier_home(now, key, hash, next, arrival, cx) {
             return fate;
         }
@@ -438,36 +451,47 @@
         self.chain.restart(now, before);
     }
 
+    /// Has all flows told again: others counted this instance as dead, and have forgotten what it holds.
+    pub fn tell_again(&mut self) {
+        self.telling.restart();
+    }
+
+    /// Takes note that this instance woke from a pause, during which the fleet without it may have taken over its
+    /// flows: those without a packet since are asked for before they are served from here.
+    pub fn woke(&mut self, now: Timestamp, before: View) {
+        self.doubted = Some(now);
+        self.chain.remember(now, before);
+        self.telling.restart();
+    }
+
     /// Takes note that an instance has told everything it had for this one under a view.
     pub fn peer_settled(&mut self, from: InstanceId, view: u64) {
         self.chain.settled(from, view);
     }
 
-    /// Takes over a batch of flows, or notes where they are; returns those of which this instance holds an elder
-    /// record.
+    /// Takes over a batch of flows, or notes where they are; returns the records that have to go.
     ///
     /// Two instances can come to hold one flow: each side of a partition starts it, or a packet overtakes the word of
-    /// where it is. Left alone, packets would go to one target or the other depending on where they enter. The elder
-    /// record holds, for that target has the flow's history.
-    pub fn absorb(
-        &mut self,
-        now: Timestamp,
-        from: InstanceId,
-        batch: &FlowBatch,
-        cx: Surroundings<'_>,
-    ) -> Vec<SocketAddr> {
-        let mut superseded = Vec::new();
+    /// where it is. Left alone, packets would go to one target or the other depending on where they enter, so one of
+    /// the records has to go ([`FlowNote::holds_over`]). The flow's home is told of both, and decides.
+    pub fn absorb(&mut self, now: Timestamp, from: InstanceId, batch: &FlowBatch, cx: Surroundings<'_>) -> Superseded {
+        let mut superseded = Superseded::default();
         for flow in &batch.flows {
             let key = FlowKey { service: batch.service, caller: flow.caller };
-            let own = self.table.age_ms(now, &key);
-            self.counts.conflicts += u64::from(own.is_some());
-            if own.is_some_and(|age_ms| age_ms >= flow.age_ms) {
-                superseded.push(flow.caller);
-            } else if batch.handover {
+            let known = self.table.note(now, &key).filter(|(holder, _)| *holder != Holder::Instance(from));
+            self.counts.conflicts += u64::from(known.is_some());
+            match known {
+                Some((_, known)) if known.holds_over(flow) => {
+                    superseded.senders.push(flow.caller);
+                    continue;
+                }
+                Some((Holder::Instance(other), _)) => superseded.others.entry(other).or_default().push(flow.caller),
+                Some((Holder::Here { .. }, _)) | None => {}
+            }
+            if batch.handover {
                 self.take_over(now, key, flow.age_ms, &batch.target, cx);
             } else {
-                self.table.give_away(now, &key);
-                self.table.insert_elsewhere(now, key, from);
+                self.table.insert_elsewhere(now, key, from, flow);
             }
         }
         // A target taken over may be one that this instance's set has already closed.
@@ -475,6 +499,13 @@
         superseded
     }
 
+    /// Drops records that another instance's hold over; answers to them still pass for a while.
+    pub fn superseded(&mut self, now: Timestamp, service: ServiceId, callers: &[SocketAddr]) {
+        for caller in callers {
+            self.table.give_away(now, &FlowKey { service, caller: *caller });
+        }
+    }
+
     fn take_over(&mut self, now: Timestamp, key: FlowKey, age_ms: u32, target: &TargetNote, cx: Surroundings<'_>) {
         if self.table.insert_here(now, key, target, age_ms).is_some() {
             self.counts.taken_over += 1;
@@ -503,10 +534,30 @@
         self.counts.expired += self.table.expire(now, |service| catalog.service(service).map(|entry| entry.idle));
         let others = cx.members.reachable().map(|update| update.id);
         self.chain.expire(now, cx.view.digest(), others);
+        if self.chain.is_empty() {
+            self.doubted = None;
+        }
         self.telling.tick(now, self.me, &self.table, cx)
     }
 }
 
+/// Returns which of the earlier homes is asked next.
+fn next_position(purpose: Purpose) -> u8 {
+    match purpose {
+        Purpose::Return { position } => position.saturating_add(1),
+        _ => 0,
+    }
+}
+
+/// Records of flows that have to go, since another record of the same flow holds.
+#[derive(Clone, Debug, Default)]
+pub struct Superseded {
+    /// Callers of those that the sender of the batch holds.
+    pub senders: Vec<SocketAddr>,
+    /// Callers of those that third instances hold.
+    pub others: BTreeMap<InstanceId, Vec<SocketAddr>>,
+}
+
 /// What a tick wants sent.
 #[derive(Clone, Debug, Default)]
 pub struct FlowNews {
--- a/crates/core/src/flows/table.rs
+++ b/crates/core/src/flows/table.rs
@@ -13,6 +13,7 @@
 use crate::catalog::Catalog;
 use crate::event::Channel;
 use crate::maps::Map;
+use crate::message::FlowNote;
 use crate::message::TargetNote;
 use hawthornshift_model::FlowKey;
 use hawthornshift_model::InstanceId;
@@ -78,6 +79,37 @@
     touched: u32,
 }
 
+impl Record {
+    fn note(&self, now: Timestamp) -> FlowNote {
+        let now = stamp(now);
+        FlowNote {
+            caller: self.key.caller,
+            age_ms: now.wrapping_sub(self.opened),
+            idle_ms: now.wrapping_sub(self.touched),
+        }
+    }
+}
+
+/// A flow held here, as a walk over the slab finds it.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    /// The service.
+    pub service: ServiceId,
+    /// The target.
+    pub seat: SeatIndex,
+    /// What is told of it.
+    pub note: FlowNote,
+}
+
+/// What a look-up for a packet finds.
+#[derive(Clone, Copy, Debug)]
+pub struct Found {
+    /// Who holds the flow.
+    pub holder: Holder,
+    /// Whether its last packet was before the time asked about.
+    pub doubtful: bool,
+}
+
 /// Why a target's flows may get no more packets.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Block {
@@ -248,49 +280,47 @@
         }
     }
 
-    /// Returns the flow held here at a position of the slab, with its target and its age in milliseconds.
+    /// Returns the flow held here at a position of the slab.
     #[must_use]
-    pub fn held_at(&self, now: Timestamp, position: usize) -> Option<(FlowKey, SeatIndex, u32)> {
+    pub fn held_at(&self, now: Timestamp, position: usize) -> Option<Held> {
         let record = self.records.get(position)?;
         match record.state {
-            State::Here { seat, .. } => Some((record.key, seat, stamp(now).wrapping_sub(record.opened))),
+            State::Here { seat, .. } => Some(Held { service: record.key.service, seat, note: record.note(now) }),
             _ => None,
         }
     }
 
-    /// Returns the age in milliseconds of a flow held here.
+    /// Returns who holds a flow, and what is known of that record.
     #[must_use]
-    pub fn age_ms(&self, now: Timestamp, key: &FlowKey) -> Option<u32> {
+    pub fn note(&self, now: Timestamp, key: &FlowKey) -> Option<(Holder, FlowNote)> {
         let record = self.records[self.find(key)? as usize];
-        matches!(record.state, State::Here { .. }).then(|| stamp(now).wrapping_sub(record.opened))
+        Some((holder(record.state)?, record.note(now)))
     }
 
     fn find(&self, key: &FlowKey) -> Option<SlotIndex> {
         self.index.find(key.hash64(), |slot| self.records[*slot as usize].key == *key).copied()
     }
 
-    /// Returns who holds a flow.
-    #[must_use]
-    pub fn get(&self, key: &FlowKey) -> Option<Holder> {
-        holder(self.records[self.find(key)? as usize].state)
-    }
-
-    /// Returns who holds a flow and notes that it had a packet.
-    pub fn touch(&mut self, now: Timestamp, key: &FlowKey) -> Option<Holder> {
+    /// Returns who holds a flow and notes that it has a packet, unless its last one was before `doubted`.
+    pub fn touch(&mut self, now: Timestamp, key: &FlowKey, doubted: Option<Timestamp>) -> Option<Found> {
         let slot = self.find(key)?;
         let record = &mut self.records[slot as usize];
         let holder = holder(record.state)?;
-        record.touched = stamp(now);
-        Some(holder)
+        let idle = Duration::from_millis(stamp(now).wrapping_sub(record.touched).into());
+        let doubtful = doubted.is_some_and(|since| idle > now.saturating_sub(since));
+        if !doubtful {
+            record.touched = stamp(now);
+        }
+        Some(Found { holder, doubtful })
     }
 
     /// Adds a flow held here, started `age_ms` milliseconds ago; returns its channel, or none when the table or the
     /// target has no room.
-    pub fn insert_here(&mut self, now: Timestamp, key: FlowKey, note: &TargetNote, age_ms: u32) -> Option<Channel> {
+    pub fn insert_here(&mut self, now: Timestamp, key: FlowKey, target: &TargetNote, age_ms: u32) -> Option<Channel> {
         // Someone else's hold, or the tail of a hold given away, ends here.
         self.remove(now, &key);
         let slot = self.take_slot(now, key)?;
-        let seat = self.intern(key.service, note);
+        let seat = self.intern(key.service, target);
         let ports = self.seats[seat as usize].ports;
         let Some(channel) = self.ports[ports].take(now, slot) else {
             self.vacant.push(slot);
@@ -306,10 +336,13 @@
     }
 
     /// Notes that another instance holds a flow; without room the note is dropped, and the chain still finds it.
-    pub fn insert_elsewhere(&mut self, now: Timestamp, key: FlowKey, holder: InstanceId) {
+    pub fn insert_elsewhere(&mut self, now: Timestamp, key: FlowKey, holder: InstanceId, note: &FlowNote) {
         self.remove(now, &key);
         let Some(slot) = self.take_slot(now, key) else { return };
-        self.records[slot as usize].state = State::Elsewhere { holder };
+        let record = &mut self.records[slot as usize];
+        record.state = State::Elsewhere { holder };
+        record.opened = stamp(now).wrapping_sub(note.age_ms);
+        record.touched = stamp(now).wrapping_sub(note.idle_ms);
         self.elsewhere += 1;
         self.link(&key, slot);
     }
--- a/crates/core/src/flows/telling.rs
+++ b/crates/core/src/flows/telling.rs
@@ -11,11 +11,13 @@
 use super::FlowNews;
 use super::Surroundings;
 use super::table::FlowTable;
+use super::table::Held;
 use super::table::SeatIndex;
 use crate::Timestamp;
 use crate::message::FlowBatch;
 use crate::message::FlowNote;
 use crate::message::Sequence;
+use hawthornshift_model::FlowKey;
 use hawthornshift_model::InstanceId;
 
 /// Records looked at in one tick.
@@ -105,14 +107,15 @@
         let end = table.span().min(start + SCAN_SLICE);
         let handover = !cx.view.serves(me);
         for position in start..end {
-            let Some((key, seat, age_ms)) = table.held_at(now, position) else { continue };
-            let Some(service) = cx.view.catalog().service(key.service) else { continue };
+            let Some(Held { service, seat, note }) = table.held_at(now, position) else { continue };
+            let Some(service) = cx.view.catalog().service(service) else { continue };
             if !cx.view.catalog().domain_in_service(&table.seat(seat).note().failure_domain) {
                 continue;
             }
+            let key = FlowKey { service: service.id, caller: note.caller };
             let home = cx.view.home(key.hash64(), service);
             if let Some(home) = home.filter(|home| *home != me) {
-                self.backlog.entry((home, seat, handover)).or_default().push(FlowNote { caller: key.caller, age_ms });
+                self.backlog.entry((home, seat, handover)).or_default().push(note);
             }
         }
         self.cursor = (end < table.span()).then_some(end);
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -27,6 +27,7 @@
 use crate::message::TargetNews;
 use crate::ramp::Ramp;
 use crate::tuning::Tuning;
+use crate::view::Trust;
 use crate::view::View;
 use hawthornshift_model::Class;
 use hawthornshift_model::InstanceId;
@@ -111,12 +112,12 @@
     }
 
     /// Returns how many more requests the target can be given.
-    fn free(&self, now: Timestamp, in_touch: bool) -> u32 {
-        if self.is_leaving() || self.down || now < self.hold_until {
+    fn free(&self, now: Timestamp, trust: Trust) -> u32 {
+        if self.is_leaving() || self.down || now < self.hold_until || trust == Trust::None {
             return 0;
         }
         // Cut off from every peer, another may keep the target too; a cold one would get the load of both.
-        if !in_touch && !self.ramp.is_warm() {
+        if trust == Trust::Stale && !self.ramp.is_warm() {
             return 0;
         }
         self.ramp.limit().min(self.slots).saturating_sub(self.running + self.foreign(now))
@@ -314,12 +315,12 @@
         request: RequestId,
         group: GroupId,
         class: Class,
-        in_touch: bool,
+        trust: Trust,
         ledger: &mut Ledger,
     ) -> Admission {
         let ahead = self.queues.get(&group).map_or(0, |queue| queue.ahead_of(class));
         if ahead == 0
-            && let Some(target) = self.start(now, request, group, in_touch, ledger)
+            && let Some(target) = self.start(now, request, group, trust, ledger)
         {
             return Admission::Run(target);
         }
@@ -340,13 +341,13 @@
     }
 
     /// Gives free slots to requests that wait; returns those that run now.
-    pub fn start_waiting(&mut self, now: Timestamp, in_touch: bool, ledger: &mut Ledger) -> Vec<(RequestId, TargetId)> {
+    pub fn start_waiting(&mut self, now: Timestamp, trust: Trust, ledger: &mut Ledger) -> Vec<(RequestId, TargetId)> {
         let mut started = Vec::new();
         let groups: Vec<GroupId> = self.queues.keys().copied().collect();
         for group in groups {
-            while self.free_slots(now, group, in_touch) > 0 {
+            while self.free_slots(now, group, trust) > 0 {
                 let Some(request) = self.queues.get_mut(&group).and_then(Queue::pop) else { break };
-                let Some(target) = self.start(now, request, group, in_touch, ledger) else { break };
+                let Some(target) = self.start(now, request, group, trust, ledger) else { break };
                 started.push((request, target));
             }
         }
@@ -359,11 +360,11 @@
         now: Timestamp,
         request: RequestId,
         group: GroupId,
-        in_touch: bool,
+        trust: Trust,
         ledger: &mut Ledger,
     ) -> Option<TargetId> {
         let members = self.kept.iter_mut().filter(|(_, kept)| kept.group == group);
-        let with_free = members.map(|(id, kept)| (kept.free(now, in_touch), *id, kept)).filter(|(free, ..)| *free > 0);
+        let with_free = members.map(|(id, kept)| (kept.free(now, trust), *id, kept)).filter(|(free, ..)| *free > 0);
         let (_, id, kept) = with_free.max_by_key(|(free, id, _)| (*free, *id))?;
         kept.running += 1;
         ledger.assert(!kept.is_leaving(), Invariant::LeavingTargetGetsNothing);
@@ -375,16 +376,16 @@
 
     /// Returns the free slots of the group's targets kept here.
     #[must_use]
-    pub fn free_slots(&self, now: Timestamp, group: GroupId, in_touch: bool) -> u32 {
+    pub fn free_slots(&self, now: Timestamp, group: GroupId, trust: Trust) -> u32 {
         let members = self.kept.values().filter(|kept| kept.group == group);
-        members.map(|kept| kept.free(now, in_touch)).sum()
+        members.map(|kept| kept.free(now, trust)).sum()
     }
 
     /// Returns the free slots less the requests that already wait for them.
     #[must_use]
-    pub fn spare_slots(&self, now: Timestamp, group: GroupId, in_touch: bool) -> u32 {
+    pub fn spare_slots(&self, now: Timestamp, group: GroupId, trust: Trust) -> u32 {
         let waiting = self.queues.get(&group).map_or(0, Queue::len);
-        self.free_slots(now, group, in_touch).saturating_sub(u32::try_from(waiting).unwrap_or(u32::MAX))
+        self.free_slots(now, group, trust).saturating_sub(u32::try_from(waiting).unwrap_or(u32::MAX))
     }
 
     /// Takes a request out of its queue.
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -121,6 +121,7 @@
     list_version: u64,
     changes: Vec<(InstanceId, MemberState)>,
     superseded: bool,
+    buried: bool,
 }
 
 impl Membership {
@@ -148,6 +149,7 @@
             list_version: 0,
             changes: Vec::new(),
             superseded: false,
+            buried: false,
         }
     }
 
@@ -185,6 +187,11 @@
         self.superseded
     }
 
+    /// Tells, once, whether others counted this instance as dead since the last call.
+    pub fn take_buried(&mut self) -> bool {
+        std::mem::take(&mut self.buried)
+    }
+
     /// Returns and forgets the changes of state since the last call.
     pub fn take_changes(&mut self) -> Vec<(InstanceId, MemberState)> {
         std::mem::take(&mut self.changes)
@@ -302,6 +309,7 @@
         }
         if update.incarnation == self.me.incarnation && update.rank() > self.me.rank() {
             self.me.version = update.version + 1;
+            self.buried |= update.state == MemberState::Dead;
         }
     }
 
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -78,6 +78,13 @@
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         superseded: Vec<SocketAddr>,
     },
+    /// Says that another instance's records of these flows hold over the receiver's, which drops its own.
+    FlowsSuperseded {
+        /// The service.
+        service: ServiceId,
+        /// The flows' callers.
+        callers: Vec<SocketAddr>,
+    },
     /// Says that every flow that the receiver is home of under the named view has been told.
     Settled {
         /// Hash of the view.
@@ -209,8 +216,24 @@
 pub struct FlowNote {
     /// Who it is from.
     pub caller: SocketAddr,
-    /// Milliseconds since it was started; of two records of one flow the elder holds.
+    /// Milliseconds since it was started.
     pub age_ms: u32,
+    /// Milliseconds since its last packet.
+    pub idle_ms: u32,
+}
+
+impl FlowNote {
+    /// Tells whether this record of a flow holds over another of the same flow.
+    ///
+    /// One that had its last packet before the other was started was abandoned: its instance was paused or cut off,
+    /// and the caller has moved on. Else both are in use, and the elder holds, for its target has the flow's history.
+    #[must_use]
+    pub fn holds_over(&self, other: &Self) -> bool {
+        if self.idle_ms > other.age_ms {
+            return false;
+        }
+        other.idle_ms > self.age_ms || self.age_ms >= other.age_ms
+    }
 }
 
 /// A target, described whole, since the receiver's set may no longer name it.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -25,6 +25,7 @@
 use crate::event::Resource;
 use crate::event::StreamId;
 use crate::flows::Flows;
+use crate::flows::Superseded;
 use crate::flows::Surroundings;
 use crate::health::HealthBook;
 use crate::invariants::Ledger;
@@ -33,6 +34,7 @@
 use crate::membership::Membership;
 use crate::membership::Signal;
 use crate::message::Envelope;
+use crate::message::FlowBatch;
 use crate::message::Heartbeat;
 use crate::message::MemberUpdate;
 use crate::message::PeerMessage;
@@ -44,6 +46,7 @@
 use crate::tickets::KEY_BYTES;
 use crate::tickets::Tickets;
 use crate::tuning::Tuning;
+use crate::view::Trust;
 use crate::view::View;
 use hawthornshift_model::CheckedSet;
 use hawthornshift_model::FlowKey;
@@ -271,11 +274,20 @@
         self.send_releases(out);
     }
 
+    fn trust(&self, now: Timestamp) -> Trust {
+        if self.fence.is_some() {
+            Trust::None
+        } else if self.membership.in_touch(now) {
+            Trust::Fresh
+        } else {
+            Trust::Stale
+        }
+    }
+
     fn request_cx<'a>(&'a mut self, now: Timestamp, out: &'a mut Vec<Output>) -> (&'a mut Requests, RequestCx<'a>) {
         let cx = RequestCx {
             now,
-            in_touch: self.membership.in_touch(now),
-            fenced: self.fence.is_some(),
+            trust: self.trust(now),
             closed: matches!(self.phase, Phase::Farewell { .. } | Phase::Stopped | Phase::Superseded),
             view: &self.view,
             members: &self.membership,
@@ -335,12 +347,14 @@
     }
 
     fn lift_fence(&mut self, now: Timestamp) {
-        let joining = self.fence.take().is_some_and(|fence| fence.joining);
-        if joining {
-            let me = self.membership.me().id;
-            let others = self.membership.serving().filter(|(seat, _)| seat.id != me);
-            let before = View::new(Arc::clone(self.configuration.catalog()), others);
+        let Some(fence) = self.fence.take() else { return };
+        let me = self.membership.me().id;
+        let others = self.membership.serving().filter(|(seat, _)| seat.id != me);
+        let before = View::new(Arc::clone(self.configuration.catalog()), others);
+        if fence.joining {
             self.flows.joined(now, before);
+        } else {
+            self.flows.woke(now, before);
         }
     }
 
@@ -442,6 +456,9 @@
             self.phase = Phase::Superseded;
             out.push(Output::Superseded);
         }
+        if self.membership.take_buried() {
+            self.flows.tell_again();
+        }
         let changes = self.membership.take_changes();
         if changes.is_empty() {
             return;
@@ -497,16 +514,8 @@
             }
             PeerMessage::SetRequest { have } => self.send_set(from, have, out),
             PeerMessage::SetOffer { set } => self.take_set(now, *set, out),
-            PeerMessage::FlowBatch(batch) => {
-                let Self { flows, view, membership, health, configuration, fence, .. } = self;
-                let superseded = flows.absorb(
-                    now,
-                    from,
-                    &batch,
-                    surroundings(view, membership, health, configuration, fence.as_ref()),
-                );
-                self.send(from, PeerMessage::FlowBatchAck { sequence: batch.sequence, superseded }, out);
-            }
+            PeerMessage::FlowBatch(batch) => self.flow_batch(now, from, &batch, out),
+            PeerMessage::FlowsSuperseded { service, callers } => self.flows.superseded(now, service, &callers),
             PeerMessage::FlowBatchAck { sequence, superseded } => {
                 self.flows.batch_acknowledged(now, sequence, &superseded);
             }
@@ -523,6 +532,17 @@
         self.follow_members(now, out);
     }
 
+    fn flow_batch(&mut self, now: Timestamp, from: InstanceId, batch: &FlowBatch, out: &mut Vec<Output>) {
+        let Self { flows, view, membership, health, configuration, fence, .. } = self;
+        let cx = surroundings(view, membership, health, configuration, fence.as_ref());
+        let Superseded { senders, others } = flows.absorb(now, from, batch, cx);
+        let FlowBatch { sequence, service, .. } = *batch;
+        self.send(from, PeerMessage::FlowBatchAck { sequence, superseded: senders }, out);
+        for (to, callers) in others {
+            self.send(to, PeerMessage::FlowsSuperseded { service, callers }, out);
+        }
+    }
+
     fn take_heartbeat(&mut self, now: Timestamp, from: InstanceId, heartbeat: Heartbeat, out: &mut Vec<Output>) {
         for update in &heartbeat.members {
             self.membership.absorb(now, update);
--- a/crates/core/src/requests/mod.rs
+++ b/crates/core/src/requests/mod.rs
@@ -50,6 +50,7 @@
 use crate::tickets::Serial;
 use crate::tickets::Ticket;
 use crate::tickets::Tickets;
+use crate::view::Trust;
 use crate::view::View;
 use hawthornshift_model::Class;
 use hawthornshift_model::InstanceId;
@@ -82,10 +83,8 @@
     pub ledger: &'a mut Ledger,
     /// Randomness.
     pub rng: &'a mut SmallRng,
-    /// Whether peers have been heard of lately.
-    pub in_touch: bool,
-    /// Whether the view must be refreshed first.
-    pub fenced: bool,
+    /// How far the view may be trusted.
+    pub trust: Trust,
     /// Whether tickets issued here are no longer redeemed, since the last word has been said.
     pub closed: bool,
     /// Where actions go.
@@ -280,7 +279,7 @@
         };
         self.deadlines.insert((entry.deadline, request));
         self.entries.insert(request, entry);
-        if cx.fenced {
+        if cx.trust == Trust::None {
             self.refuse(cx, request, worst, Reason::Fenced);
             return false;
         }
@@ -343,7 +342,7 @@
     fn dispatch(&mut self, cx: &mut RequestCx<'_>, request: RequestId) {
         let Some(entry) = self.entries.get_mut(&request) else { return };
         let me = cx.members.me().id;
-        let spare = cx.keeper.spare_slots(cx.now, entry.group, cx.in_touch);
+        let spare = cx.keeper.spare_slots(cx.now, entry.group, cx.trust);
         let choice = if entry.tried.len() < MAX_KEEPERS {
             self.routing.choose(cx.now, entry.group, &entry.tried, me, spare, cx.rng)
         } else {
@@ -370,7 +369,7 @@
     /// Gives a request a slot of a target kept here, or a place in the queue.
     fn keep(&mut self, cx: &mut RequestCx<'_>, request: RequestId) {
         let Some(entry) = self.entries.get_mut(&request) else { return };
-        let admission = cx.keeper.admit(cx.now, request, entry.group, entry.class, cx.in_touch, cx.ledger);
+        let admission = cx.keeper.admit(cx.now, request, entry.group, entry.class, cx.trust, cx.ledger);
         match admission {
             Admission::Run(target) => self.execute(cx, request, target),
             Admission::Queued => entry.stage = Stage::Queued,
@@ -517,7 +516,7 @@
 
     /// Runs requests that wait, as far as slots are free.
     pub fn start_waiting(&mut self, cx: &mut RequestCx<'_>) {
-        for (request, target) in cx.keeper.start_waiting(cx.now, cx.in_touch, cx.ledger) {
+        for (request, target) in cx.keeper.start_waiting(cx.now, cx.trust, cx.ledger) {
             self.execute(cx, request, target);
         }
     }
@@ -711,5 +710,5 @@
 
 /// Returns what a keeper tells the owner of a request about its free slots.
 fn free_for(cx: &RequestCx<'_>, part: Part, group: GroupId) -> Option<u32> {
-    (part == Part::Keeper).then(|| cx.keeper.spare_slots(cx.now, group, cx.in_touch))
+    (part == Part::Keeper).then(|| cx.keeper.spare_slots(cx.now, group, cx.trust))
 }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -25,6 +25,17 @@
     pub incarnation: Incarnation,
 }
 
+/// How far an instance may trust its view.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trust {
+    /// Peers have been heard of within the lease.
+    Fresh,
+    /// No peer has been heard of within the lease: others may act on another view.
+    Stale,
+    /// The instance was paused or has just started; nothing is decided on the view.
+    None,
+}
+
 /// The set in force and the instances that serve, by failure domain.
 #[derive(Clone, Debug, Default)]
 pub struct View {
