--- a/crates/core/src/flows/mod.rs
+++ b/crates/core/src/flows/mod.rs
@@ -419,8 +419,11 @@
     }
 
     /// Decides on a packet from a target.
-    pub fn target_packet(&mut self, now: Timestamp, target: SocketAddr, channel: Channel) -> PacketFate {
-        let Some((key, seat)) = self.table.find_by_channel(now, target, channel) else {
+    pub fn target_packet(&mut self, now: Timestamp, target: SocketAddr, channel: Channel, fenced: bool) -> PacketFate {
+        if fenced {
+            return self.drop(DropReason::Fenced);
+        }
+        let Some((key, seat)) = self.table.find_by_channel(now, target, channel, self.doubted) else {
             return self.drop(DropReason::NoFlow);
         };
         if seat.block().is_some() {
--- a/crates/core/src/flows/table.rs
+++ b/crates/core/src/flows/table.rs
@@ -9,6 +9,7 @@
 
 use hashbrown::HashTable;
 
+use super::telling::TELL_PERIOD;
 use crate::Timestamp;
 use crate::catalog::Catalog;
 use crate::event::Channel;
@@ -80,6 +81,15 @@
 }
 
 impl Record {
+    fn idle(&self, now: Timestamp) -> Duration {
+        Duration::from_millis(stamp(now).wrapping_sub(self.touched).into())
+    }
+
+    /// Tells whether the last packet was before `doubted`.
+    fn is_doubtful(&self, now: Timestamp, doubted: Option<Timestamp>) -> bool {
+        doubted.is_some_and(|since| self.idle(now) > now.saturating_sub(since))
+    }
+
     fn note(&self, now: Timestamp) -> FlowNote {
         let now = stamp(now);
         FlowNote {
@@ -306,8 +316,7 @@
         let slot = self.find(key)?;
         let record = &mut self.records[slot as usize];
         let holder = holder(record.state)?;
-        let idle = Duration::from_millis(stamp(now).wrapping_sub(record.touched).into());
-        let doubtful = doubted.is_some_and(|since| idle > now.saturating_sub(since));
+        let doubtful = record.is_doubtful(now, doubted);
         if !doubtful {
             record.touched = stamp(now);
         }
@@ -428,17 +437,23 @@
     }
 
     /// Finds the flow of a packet that came from a target on a channel, and notes that it had a packet.
+    ///
+    /// A flow whose last packet was before `doubted` is not found: another instance may hold it by now.
     pub fn find_by_channel(
         &mut self,
         now: Timestamp,
         target: SocketAddr,
         channel: Channel,
+        doubted: Option<Timestamp>,
     ) -> Option<(FlowKey, &Seat)> {
         let ports = &self.ports[*self.by_address.get(&target)?];
         let slot = (*ports.slots.get(usize::from(channel))?)?;
         let record = &mut self.records[slot as usize];
         let seat = match record.state {
             State::Here { seat, .. } => {
+                if record.is_doubtful(now, doubted) {
+                    return None;
+                }
                 record.touched = stamp(now);
                 seat
             }
@@ -455,14 +470,16 @@
         let mut expired = 0;
         for _ in 0..step {
             self.cursor = if self.cursor + 1 >= self.records.len() { 0 } else { self.cursor + 1 };
-            let Record { key, state, touched, .. } = self.records[self.cursor];
+            let record = self.records[self.cursor];
+            let Record { key, state, .. } = record;
             let limit = match state {
                 State::Vacant => continue,
                 State::GivenAway { .. } => REPLY_TAIL,
-                State::Here { .. } | State::Elsewhere { .. } => idle(key.service).unwrap_or(ORPHAN_IDLE),
+                State::Here { .. } => idle(key.service).unwrap_or(ORPHAN_IDLE),
+                // Its holder tells of it again and again for as long as the flow lasts.
+                State::Elsewhere { .. } => idle(key.service).unwrap_or(ORPHAN_IDLE).max(TELL_PERIOD * 2),
             };
-            let silent = Duration::from_millis(stamp(now).wrapping_sub(touched).into());
-            if silent >= limit {
+            if record.idle(now) >= limit {
                 expired += u64::from(matches!(state, State::Here { .. }));
                 self.remove(now, &key);
             }
--- a/crates/core/src/flows/telling.rs
+++ b/crates/core/src/flows/telling.rs
@@ -1,12 +1,15 @@
 //! Telling homes which flows stay behind, and handing flows over.
 //!
 //! After each change of view every held flow is looked at once, a slice at a time. One whose home is another instance
-//! is told there, or handed over when this instance no longer serves. Batches are numbered and sent again until they
+//! is told there, or handed over when this instance no longer serves. One that stays is told to the home's standby too,
+//! the instance that becomes its home when the home dies: else the word would die with the home, and the standby would
+//! take the flow for a new one before its holder has even noticed. Batches are numbered and sent again until they
 //! are confirmed; both ends take a repeated one without harm. When nothing is left for an instance, it is told that
 //! it has heard everything under this view, which closes its chain for this sender.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use super::FlowNews;
 use super::Surroundings;
@@ -20,6 +23,8 @@
 use hawthornshift_model::FlowKey;
 use hawthornshift_model::InstanceId;
 
+/// Time after which flows that stay behind are told again, so that those who were told do not forget them.
+pub const TELL_PERIOD: Duration = Duration::from_mins(2);
 /// Records looked at in one tick.
 const SCAN_SLICE: usize = 20_000;
 /// Flows in one batch.
@@ -52,6 +57,9 @@
     announced: BTreeSet<InstanceId>,
     /// Flows have come since the last walk that may belong elsewhere.
     dirty: bool,
+    /// The last walk found flows that stay behind.
+    has_strays: bool,
+    next_round: Timestamp,
 }
 
 impl Telling {
@@ -85,7 +93,8 @@
 
     /// Looks at a slice of the flows and returns what to send now.
     pub fn tick(&mut self, now: Timestamp, me: InstanceId, table: &FlowTable, cx: Surroundings<'_>) -> FlowNews {
-        if self.dirty && self.is_idle() {
+        let due = self.dirty || (self.has_strays && now >= self.next_round);
+        if due && self.is_idle() {
             self.cursor = Some(0);
         }
         self.scan(now, me, table, cx);
@@ -103,6 +112,8 @@
         let Some(start) = self.cursor else { return };
         if start == 0 {
             self.dirty = false;
+            self.has_strays = false;
+            self.next_round = now + TELL_PERIOD;
         }
         let end = table.span().min(start + SCAN_SLICE);
         let handover = !cx.view.serves(me);
@@ -113,9 +124,12 @@
                 continue;
             }
             let key = FlowKey { service: service.id, caller: note.caller };
-            let home = cx.view.home(key.hash64(), service);
-            if let Some(home) = home.filter(|home| *home != me) {
-                self.backlog.entry((home, seat, handover)).or_default().push(note);
+            let Some(home) = cx.view.home(key.hash64(), service).filter(|home| *home != me) else { continue };
+            self.has_strays = true;
+            self.backlog.entry((home, seat, handover)).or_default().push(note);
+            let standby = cx.view.standby(key.hash64(), service, home).filter(|standby| *standby != me && !handover);
+            if let Some(standby) = standby {
+                self.backlog.entry((standby, seat, false)).or_default().push(note);
             }
         }
         self.cursor = (end < table.span()).then_some(end);
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -35,8 +35,6 @@
 const MAX_NEWS: usize = 6;
 /// Instances asked to ping one that does not answer.
 const INDIRECT_PINGS: usize = 2;
-/// One in this many periods also pings an instance that counts as dead, so that a healed partition is noticed.
-const DEAD_PING_ODDS: u32 = 4;
 /// Time after which an instance that is dead and that the platform no longer lists is forgotten.
 const FORGET_DEAD: Duration = Duration::from_mins(1);
 
@@ -380,10 +378,9 @@
             self.round = self.members.keys().copied().collect();
             self.round.shuffle(rng);
         }
-        if rng.random_ratio(1, DEAD_PING_ODDS) {
-            let dead = self.members.values().filter(|member| member.update.state == MemberState::Dead);
-            subjects.extend(dead.map(|member| member.update.id).choose(rng));
-        }
+        // One that counts as dead is asked too, or the two sides of a healed partition would never find each other.
+        let dead = self.members.values().filter(|member| member.update.state == MemberState::Dead);
+        subjects.extend(dead.map(|member| member.update.id).choose(rng));
         subjects
     }
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -220,7 +220,7 @@
                 out.push(Output::Packet(flows.forwarded_packet(now, &head, cx, ledger)));
             }
             Input::TargetPacket { target, channel } => {
-                out.push(Output::Packet(self.flows.target_packet(now, target, channel)));
+                out.push(Output::Packet(self.flows.target_packet(now, target, channel, self.fence.is_some())));
             }
             Input::Tick => self.tick(now, out),
             Input::Stop => self.stop(now),
@@ -328,7 +328,12 @@
     /// Asks peers to confirm the view, or goes on without them when the time is over.
     fn tick_fence(&mut self, now: Timestamp, out: &mut Vec<Output>) {
         let Some(fence) = &mut self.fence else { return };
-        if now >= fence.until && self.configuration.revision() > 0 {
+        let has_set = self.configuration.revision() > 0;
+        if !has_set {
+            // Who serves is often learned together with the set; the time to find the others starts with it.
+            fence.until = now + FENCE_LIMIT;
+        }
+        if has_set && now >= fence.until {
             self.lift_fence(now);
         } else if now >= fence.next_refresh {
             fence.next_refresh = now + REFRESH_PERIOD;
--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -94,6 +94,11 @@
         schedule.failures = 0;
         let pause = if watches { WATCH_GAP } else { self.fallback.mul_f64(rng.random_range(0.5..1.5)) };
         schedule.next = now + pause;
+        // The platform is back: what else was waiting for it need not wait on.
+        for other in self.schedules.values_mut().filter(|other| other.failures > 0) {
+            other.failures = 0;
+            other.next = now;
+        }
     }
 
     /// Notes a failure.
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -108,6 +108,17 @@
         self.rank_first(hash, domain)
     }
 
+    /// Returns the instance that becomes a flow's home when `home` goes.
+    #[must_use]
+    pub fn standby(&self, hash: u64, service: &ServiceEntry, home: InstanceId) -> Option<InstanceId> {
+        let domain = self.catalog.domain_of(hash, service)?;
+        let seats = self.seats(domain);
+        // The last of its failure domain is followed by one of another.
+        let seats = if seats.len() > 1 { seats } else { &self.everywhere };
+        let others = seats.iter().copied().filter(|seat| seat.id != home);
+        rendezvous::pick(hash, others, |seat| u64::from(seat.id)).map(|seat| seat.id)
+    }
+
     /// Returns the one instance through which a target's requests pass.
     #[must_use]
     pub fn keeper(&self, target: TargetId) -> Option<InstanceId> {
