--- a/crates/core/examples/slopes.rs
+++ b/crates/core/examples/slopes.rs
@@ -131,6 +131,7 @@
     bytes: usize,
     reads: usize,
     busy: Duration,
+    by_kind: BTreeMap<String, usize>,
 }
 
 /// A fleet whose messages arrive at once, for counting them.
@@ -205,6 +206,9 @@
 
     fn count(&mut self, envelope: &Envelope) {
         self.traffic.messages += 1;
+        let kind = format!("{:?}", envelope.message);
+        let kind = kind.split(|c: char| !c.is_alphanumeric()).next().unwrap_or_default().to_owned();
+        *self.traffic.by_kind.entry(kind).or_default() += 1;
         self.traffic.bytes += serde_json::to_vec(envelope).map_or(0, |text| text.len());
         // An answer to a ping travels with the answer of its call.
         if !matches!(envelope.message, PeerMessage::Ack(_)) {
--- a/crates/core/src/flows/mod.rs
+++ b/crates/core/src/flows/mod.rs
@@ -103,14 +103,30 @@
     pub dropped: BTreeMap<DropReason, u64>,
 }
 
-/// How a packet came to this instance.
+/// A packet whose flow is to be found.
 #[derive(Clone, Copy, Debug)]
-struct Arrival {
+struct Packet {
+    now: Timestamp,
+    key: FlowKey,
     from: Option<InstanceId>,
     hops_left: u8,
     purpose: Purpose,
 }
 
+impl Packet {
+    /// Returns which of the earlier homes is asked next.
+    fn next_position(&self) -> u8 {
+        match self.purpose {
+            Purpose::Return { position } => position.saturating_add(1),
+            _ => 0,
+        }
+    }
+
+    fn is_returned(&self) -> bool {
+        matches!(self.purpose, Purpose::Return { .. })
+    }
+}
+
 /// All flows of one instance.
 #[derive(Clone, Debug)]
 pub struct Flows {
@@ -183,8 +199,8 @@
         cx: Surroundings<'_>,
         ledger: &mut Ledger,
     ) -> PacketFate {
-        let arrival = Arrival { from: None, hops_left: MAX_HOPS, purpose: Purpose::ToHome };
-        self.decide(now, key, arrival, cx, ledger)
+        let packet = Packet { now, key, from: None, hops_left: MAX_HOPS, purpose: Purpose::ToHome };
+        self.decide(packet, cx, ledger)
     }
 
     /// Decides on a packet from another instance.
@@ -197,71 +213,53 @@
     ) -> PacketFate {
         ledger.assert(head.hops_left <= MAX_HOPS, Invariant::ForwardingEnds);
         let key = FlowKey { service: head.service, caller: head.caller };
-        let arrival = Arrival { from: Some(head.from), hops_left: head.hops_left.min(MAX_HOPS), purpose: head.purpose };
-        self.decide(now, key, arrival, cx, ledger)
+        let ForwardHead { from, purpose, .. } = *head;
+        let packet = Packet { now, key, from: Some(from), hops_left: head.hops_left.min(MAX_HOPS), purpose };
+        self.decide(packet, cx, ledger)
     }
 
-    fn decide(
-        &mut self,
-        now: Timestamp,
-        key: FlowKey,
-        arrival: Arrival,
-        cx: Surroundings<'_>,
-        ledger: &mut Ledger,
-    ) -> PacketFate {
-        let fate = self.decide_unchecked(now, key, arrival, cx, ledger);
+    fn decide(&mut self, packet: Packet, cx: Surroundings<'_>, ledger: &mut Ledger) -> PacketFate {
+        let fate = self.decide_unchecked(packet, cx, ledger);
         if let PacketFate::Forward { head, .. } = fate {
-            ledger.assert(head.hops_left < arrival.hops_left, Invariant::ForwardingEnds);
+            ledger.assert(head.hops_left < packet.hops_left, Invariant::ForwardingEnds);
         }
         fate
     }
 
-    fn decide_unchecked(
-        &mut self,
-        now: Timestamp,
-        key: FlowKey,
-        arrival: Arrival,
-        cx: Surroundings<'_>,
-        ledger: &mut Ledger,
-    ) -> PacketFate {
-        let Some(service) = cx.view.catalog().service(key.service) else {
+    fn decide_unchecked(&mut self, packet: Packet, cx: Surroundings<'_>, ledger: &mut Ledger) -> PacketFate {
+        let Some(service) = cx.view.catalog().service(packet.key.service) else {
             return self.drop(DropReason::UnknownService);
         };
         if cx.fenced {
             return self.drop(DropReason::Fenced);
         }
-        let returned = matches!(arrival.purpose, Purpose::Return { .. });
-        let found = self.table.touch(now, &key, self.doubted.filter(|_| !returned));
-        let known = found.and_then(|found| self.decide_known(now, key, found, arrival, cx, ledger));
-        known.unwrap_or_else(|| self.decide_unknown(now, key, service, arrival, cx, ledger))
+        let doubted = self.doubted.filter(|_| !packet.is_returned());
+        let found = self.table.touch(packet.now, &packet.key, doubted);
+        let known = found.and_then(|found| self.decide_known(packet, found, cx, ledger));
+        known.unwrap_or_else(|| self.decide_unknown(packet, service, cx, ledger))
     }
 
     /// Decides on a packet whose flow is known here; returns nothing when what is known no longer holds.
     fn decide_known(
         &mut self,
-        now: Timestamp,
-        key: FlowKey,
+        packet: Packet,
         found: Found,
-        arrival: Arrival,
         cx: Surroundings<'_>,
         ledger: &mut Ledger,
     ) -> Option<PacketFate> {
         match found.holder {
             Holder::Here { seat, channel } => {
-                let position = next_position(arrival.purpose);
-                let asked =
-                    found.doubtful.then(|| self.ask_earlier_home(now, key, key.hash64(), position, arrival, cx));
-                asked.flatten().or_else(|| self.send_held(now, key, seat, channel, cx, ledger))
+                let asked = found.doubtful.then(|| self.ask_earlier_home(packet, packet.key.hash64(), cx));
+                asked.flatten().or_else(|| self.send_held(packet, seat, channel, cx, ledger))
             }
-            Holder::Instance(holder) => self.send_to_holder(key, holder, arrival, cx, now),
+            Holder::Instance(holder) => self.send_to_holder(packet, holder, cx),
         }
     }
 
     /// Sends a held flow's packet to its target, or gives the flow up when it may get no more.
     fn send_held(
         &mut self,
-        now: Timestamp,
-        key: FlowKey,
+        packet: Packet,
         seat: SeatIndex,
         channel: Channel,
         cx: Surroundings<'_>,
@@ -269,11 +267,11 @@
     ) -> Option<PacketFate> {
         let seat = self.table.seat(seat);
         if seat.block().is_some() {
-            self.table.remove(now, &key);
+            self.table.remove(packet.now, &packet.key);
             self.counts.given_up += 1;
             return None;
         }
-        ledger.assert(seat.service() == key.service, Invariant::PacketStaysWithService);
+        ledger.assert(seat.service() == packet.key.service, Invariant::PacketStaysWithService);
         if cfg!(debug_assertions) {
             // Too slow for every packet in release, where the block of the seat stands for it.
             let in_service = cx.view.catalog().domain_in_service(&seat.note().failure_domain);
@@ -283,109 +281,90 @@
     }
 
     /// Sends a packet on to the instance that holds its flow, or forgets a holder that is gone.
-    fn send_to_holder(
-        &mut self,
-        key: FlowKey,
-        holder: InstanceId,
-        arrival: Arrival,
-        cx: Surroundings<'_>,
-        now: Timestamp,
-    ) -> Option<PacketFate> {
-        let usable = may_get_packets(now, holder, cx) && arrival.hops_left > 0 && arrival.from != Some(holder);
+    fn send_to_holder(&mut self, packet: Packet, holder: InstanceId, cx: Surroundings<'_>) -> Option<PacketFate> {
+        let usable = may_get_packets(packet.now, holder, cx) && packet.hops_left > 0 && packet.from != Some(holder);
         if !usable {
-            self.table.remove(now, &key);
+            self.table.remove(packet.now, &packet.key);
             return None;
         }
-        self.forward(key, holder, arrival, Purpose::ToHolder, cx)
+        self.forward(packet, holder, Purpose::ToHolder, cx)
     }
 
     /// Decides on a packet whose flow is not known here.
     fn decide_unknown(
         &mut self,
-        now: Timestamp,
-        key: FlowKey,
+        packet: Packet,
         service: &ServiceEntry,
-        arrival: Arrival,
         cx: Surroundings<'_>,
         ledger: &mut Ledger,
     ) -> PacketFate {
-        let hash = key.hash64();
-        if let (Purpose::Ask { position }, Some(asker)) = (arrival.purpose, arrival.from) {
-            let fate = self.forward(key, asker, arrival, Purpose::Return { position }, cx);
+        let hash = packet.key.hash64();
+        if let (Purpose::Ask { position }, Some(asker)) = (packet.purpose, packet.from) {
+            let fate = self.forward(packet, asker, Purpose::Return { position }, cx);
             return fate.unwrap_or_else(|| self.drop(DropReason::TooManyHops));
         }
         let Some(home) = cx.view.home(hash, service) else {
             return self.drop(DropReason::NoHome);
         };
         if home != self.me
-            && arrival.hops_left > 0
-            && !matches!(arrival.purpose, Purpose::Return { .. })
-            && let Some(fate) = self.forward(key, home, arrival, Purpose::ToHome, cx)
+            && packet.hops_left > 0
+            && !packet.is_returned()
+            && let Some(fate) = self.forward(packet, home, Purpose::ToHome, cx)
         {
             return fate;
         }
-        let next = next_position(arrival.purpose);
-        if let Some(fate) = self.ask_earlier_home(now, key, hash, next, arrival, cx) {
+        if let Some(fate) = self.ask_earlier_home(packet, hash, cx) {
             return fate;
         }
-        self.open(now, key, hash, service, cx, ledger)
+        self.open(packet, hash, service, cx, ledger)
     }
 
     /// Sends the packet of an unknown flow to the next earlier home that may hold it.
-    fn ask_earlier_home(
-        &mut self,
-        now: Timestamp,
-        key: FlowKey,
-        hash: u64,
-        next: u8,
-        arrival: Arrival,
-        cx: Surroundings<'_>,
-    ) -> Option<PacketFate> {
+    fn ask_earlier_home(&mut self, packet: Packet, hash: u64, cx: Surroundings<'_>) -> Option<PacketFate> {
         // The answer needs a hop of its own.
-        if arrival.hops_left < 2 {
+        if packet.hops_left < 2 {
             return None;
         }
-        let candidates = self.chain.candidates(key.service, hash, self.me);
-        let mut candidates = candidates.into_iter().enumerate().skip(next.into());
-        let (position, earlier) = candidates.find(|(_, earlier)| may_get_packets(now, *earlier, cx))?;
+        let candidates = self.chain.candidates(packet.key.service, hash, self.me);
+        let mut candidates = candidates.into_iter().enumerate().skip(packet.next_position().into());
+        let (position, earlier) = candidates.find(|(_, earlier)| may_get_packets(packet.now, *earlier, cx))?;
         let position = u8::try_from(position).ok()?;
-        let fate = self.forward(key, earlier, arrival, Purpose::Ask { position }, cx)?;
+        let fate = self.forward(packet, earlier, Purpose::Ask { position }, cx)?;
         self.counts.asked += 1;
         Some(fate)
     }
 
     fn forward(
         &mut self,
-        key: FlowKey,
+        packet: Packet,
         to: InstanceId,
-        arrival: Arrival,
         purpose: Purpose,
         cx: Surroundings<'_>,
     ) -> Option<PacketFate> {
         let address = cx.members.member(to)?.forward;
-        let hops_left = arrival.hops_left.checked_sub(1)?;
+        let hops_left = packet.hops_left.checked_sub(1)?;
         self.counts.forwarded += 1;
-        let head = ForwardHead { from: self.me, service: key.service, caller: key.caller, hops_left, purpose };
+        let FlowKey { service, caller } = packet.key;
+        let head = ForwardHead { from: self.me, service, caller, hops_left, purpose };
         Some(PacketFate::Forward { address, head })
     }
 
     /// Starts a flow here.
     fn open(
         &mut self,
-        now: Timestamp,
-        key: FlowKey,
+        packet: Packet,
         hash: u64,
         service: &ServiceEntry,
         cx: Surroundings<'_>,
         ledger: &mut Ledger,
     ) -> PacketFate {
-        let Some(target) = self.choose_target(now, hash, service, cx) else {
+        let Some(target) = self.choose_target(packet.now, hash, service, cx) else {
             return self.drop(DropReason::NoTarget);
         };
         ledger.assert(!target.leaving, Invariant::LeavingTargetGetsNothing);
         ledger.assert(cx.view.catalog().domains()[target.domain].in_service, Invariant::OutDomainSilent);
         let note = note(cx.view.catalog(), target);
-        let Some(channel) = self.table.insert_here(now, key, &note, 0) else {
+        let Some(channel) = self.table.insert_here(packet.now, packet.key, &note, 0) else {
             return self.drop(DropReason::TableFull);
         };
         self.counts.opened += 1;
@@ -563,14 +542,6 @@
     }
 }
 
-/// Returns which of the earlier homes is asked next.
-fn next_position(purpose: Purpose) -> u8 {
-    match purpose {
-        Purpose::Return { position } => position.saturating_add(1),
-        _ => 0,
-    }
-}
-
 /// Records of flows that have to go, since another record of the same flow holds.
 #[derive(Clone, Debug, Default)]
 pub struct Superseded {
--- /dev/null
+++ b/crates/core/src/node/mod.rs
@@ -0,0 +1,405 @@
+//! The node: takes inputs, asks the parts that decide, and gives outputs.
+//!
+//! This module has the inputs and the tick; [`fence`] what holds a node back, [`messages`] what it says to others,
+//! [`lifecycle`] how it stops, [`state`] what it shows to operators.
+
+mod fence;
+mod lifecycle;
+mod messages;
+mod state;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use self::fence::Fence;
+use self::lifecycle::Phase;
+use crate::Timestamp;
+use crate::catalog::Catalog;
+use crate::configuration::Adoption;
+use crate::configuration::Configuration;
+use crate::event::HealthReport;
+use crate::event::Input;
+use crate::event::InstanceList;
+use crate::event::Notice;
+use crate::event::Output;
+use crate::event::PlatformRead;
+use crate::event::Resource;
+use crate::event::StreamId;
+use crate::flows::Flows;
+use crate::flows::Surroundings;
+use crate::health::HealthBook;
+use crate::invariants::Ledger;
+use crate::keeper::Keeper;
+use crate::membership::Identity;
+use crate::membership::Membership;
+use crate::message::MemberUpdate;
+use crate::message::PeerMessage;
+use crate::platform::PlatformReader;
+use crate::requests::RequestCx;
+use crate::requests::Requests;
+use crate::streams::Streams;
+use crate::tickets::KEY_BYTES;
+use crate::tickets::Tickets;
+use crate::tuning::Tuning;
+use crate::view::Trust;
+use crate::view::View;
+use hawthornshift_model::CheckedSet;
+use hawthornshift_model::FlowKey;
+use hawthornshift_model::TargetId;
+
+/// How often [`Input::Tick`] is due at the least.
+pub const TICK: Duration = Duration::from_millis(50);
+
+/// One instance's decisions.
+#[derive(Debug)]
+pub struct Node {
+    tuning: Tuning,
+    rng: SmallRng,
+    ledger: Ledger,
+    phase: Phase,
+    started: Timestamp,
+    last_input: Timestamp,
+    fence: Option<Fence>,
+    next_tick: Timestamp,
+    membership: Membership,
+    configuration: Configuration,
+    platform: PlatformReader,
+    view: View,
+    health: HealthBook,
+    flows: Flows,
+    streams: Streams,
+    keeper: Keeper,
+    tickets: Tickets,
+    requests: Requests,
+}
+
+impl Node {
+    /// Starts a node that knows nobody and has no set.
+    ///
+    /// `seed` drives all its random choices; `ticket_key` must be random and known to nobody else.
+    #[must_use]
+    pub fn new(now: Timestamp, identity: Identity, tuning: Tuning, seed: u64, ticket_key: [u8; KEY_BYTES]) -> Self {
+        let me = identity.id;
+        let tickets = Tickets::new(me, identity.incarnation, ticket_key, tuning.ticket_life, tuning.answer_bytes);
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            ledger: Ledger::default(),
+            phase: Phase::Starting,
+            started: now,
+            last_input: now,
+            fence: Some(Fence::joining(now)),
+            next_tick: now,
+            membership: Membership::new(identity, tuning.clone()),
+            configuration: Configuration::default(),
+            platform: PlatformReader::new(now, tuning.platform_fallback),
+            view: View::default(),
+            health: HealthBook::default(),
+            flows: Flows::new(me, &tuning),
+            streams: Streams::default(),
+            keeper: Keeper::new(me, tuning.clone()),
+            tickets,
+            requests: Requests::default(),
+            tuning,
+        }
+    }
+
+    /// Returns the set in force.
+    #[must_use]
+    pub fn catalog(&self) -> &Arc<Catalog> {
+        self.configuration.catalog()
+    }
+
+    /// Returns the view in force.
+    #[must_use]
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Returns the breaches of invariants.
+    #[must_use]
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Returns the flows.
+    #[must_use]
+    pub fn flows(&self) -> &Flows {
+        &self.flows
+    }
+
+    /// Tells whether the fabric should send new work here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.phase == Phase::Serving && self.fence.is_none()
+    }
+
+    /// Tells whether a planned stop is done, or a newer life of this instance exists.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        matches!(self.phase, Phase::Stopped | Phase::Superseded)
+    }
+
+    /// Returns this instance as it presents itself.
+    #[must_use]
+    pub fn me(&self) -> &MemberUpdate {
+        self.membership.me()
+    }
+
+    /// Takes one input and appends what follows from it to `out`.
+    pub fn handle(&mut self, now: Timestamp, input: Input, out: &mut Vec<Output>) {
+        self.notice_pause(now, out);
+        match input {
+            Input::CallerPacket { service, caller } => self.caller_packet(now, FlowKey { service, caller }, out),
+            Input::ForwardedPacket(head) => {
+                let Self { flows, view, membership, health, configuration, fence, ledger, .. } = self;
+                let cx = surroundings(view, membership, health, configuration, fence.as_ref());
+                out.push(Output::Packet(flows.forwarded_packet(now, &head, cx, ledger)));
+            }
+            Input::TargetPacket { target, channel } => {
+                out.push(Output::Packet(self.flows.target_packet(now, target, channel, self.fence.is_some())));
+            }
+            Input::Tick => self.tick(now, out),
+            Input::Stop => self.stop(now),
+            Input::PeerMessage(envelope) => self.peer_message(now, *envelope, out),
+            Input::PeerIntroduced(update) => {
+                self.membership.absorb(now, &update);
+            }
+            Input::PeerUnreachable { to } => self.membership.unreachable(now, to),
+            Input::SetRead(set) => self.set_read(now, set, out),
+            Input::SetUnchanged => self.platform_answered(now, Resource::Set),
+            Input::InstancesRead(list) => self.instances_read(now, &list),
+            Input::InstancesUnchanged => self.platform_answered(now, Resource::Instances),
+            Input::PlatformFailed(resource) => {
+                let watches = PlatformReader::watches(&self.view, self.membership.me());
+                self.platform.failed(now, resource, watches, &mut self.rng);
+            }
+            Input::Probed { target, report } => self.probed(now, target, report, out),
+            Input::StreamOpened { stream, service, caller } => {
+                self.stream_opened(now, stream, FlowKey { service, caller }, out);
+            }
+            Input::StreamRefused { stream } => {
+                let address = self.streams.refused(now, stream, &self.view, &self.health);
+                connect_or_close(stream, address, out);
+            }
+            Input::StreamClosed { stream } => self.streams.closed(stream),
+            request => self.request_input(now, request, out),
+        }
+    }
+
+    /// Takes an input that concerns a request.
+    fn request_input(&mut self, now: Timestamp, input: Input, out: &mut Vec<Output>) {
+        let (requests, mut cx) = self.request_cx(now, out);
+        let cx = &mut cx;
+        match input {
+            Input::RequestArrived { request, service, idempotent, ticket, timeout } => {
+                requests.arrived(cx, request, service, idempotent, ticket.as_deref(), timeout);
+            }
+            Input::PassArrived { request, head, .. } => requests.passed(cx, request, &head),
+            Input::PassEnded { request, result, free } => requests.pass_ended(cx, request, result, free),
+            Input::PassFailed { request, verdict } => requests.pass_failed(cx, request, verdict),
+            Input::TargetAnswered { request, attempt, answer } => {
+                requests.target_answered(cx, request, attempt, answer);
+            }
+            Input::TargetFailed { request, attempt, refusal } => {
+                requests.target_failed(cx, request, attempt, refusal);
+            }
+            Input::CallerGone { request } => requests.caller_gone(cx, request),
+            _ => {}
+        }
+        self.send_releases(out);
+    }
+
+    fn trust(&self, now: Timestamp) -> Trust {
+        if self.fence.is_some() {
+            Trust::None
+        } else if self.membership.in_touch(now) {
+            Trust::Fresh
+        } else {
+            Trust::Stale
+        }
+    }
+
+    fn request_cx<'a>(&'a mut self, now: Timestamp, out: &'a mut Vec<Output>) -> (&'a mut Requests, RequestCx<'a>) {
+        let cx = RequestCx {
+            now,
+            trust: self.trust(now),
+            closed: matches!(self.phase, Phase::Farewell { .. } | Phase::Stopped | Phase::Superseded),
+            view: &self.view,
+            members: &self.membership,
+            keeper: &mut self.keeper,
+            tickets: &mut self.tickets,
+            ledger: &mut self.ledger,
+            rng: &mut self.rng,
+            out,
+        };
+        (&mut self.requests, cx)
+    }
+
+    fn caller_packet(&mut self, now: Timestamp, key: FlowKey, out: &mut Vec<Output>) {
+        let Self { flows, view, membership, health, configuration, fence, ledger, .. } = self;
+        let cx = surroundings(view, membership, health, configuration, fence.as_ref());
+        out.push(Output::Packet(flows.caller_packet(now, key, cx, ledger)));
+    }
+
+    fn tick(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        if now < self.next_tick {
+            return;
+        }
+        self.next_tick = now + TICK;
+        self.tick_fence(now, out);
+        let signals = self.membership.tick(now, &mut self.rng);
+        self.send_signals(signals, out);
+        self.follow_members(now, out);
+        self.read_platform(now, out);
+        self.health.expire(now);
+        self.tick_flows(now, out);
+        self.tick_requests(now, out);
+        self.tick_probes(now, out);
+        self.send_releases(out);
+        self.send_target_news(out);
+        self.tick_phase(now, out);
+    }
+
+    fn tick_flows(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        let Self { flows, view, membership, health, configuration, fence, .. } = self;
+        let cx = surroundings(view, membership, health, configuration, fence.as_ref());
+        let news = flows.tick(now, cx);
+        let view = self.view.digest();
+        for (to, batch) in news.batches {
+            self.send(to, PeerMessage::FlowBatch(batch), out);
+        }
+        for to in news.settled {
+            self.send(to, PeerMessage::Settled { view }, out);
+        }
+    }
+
+    fn tick_requests(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        let dropped = self.tickets.expire(now);
+        out.extend(dropped.into_iter().map(|answer| Output::ForgetAnswer { answer }));
+        let (requests, mut cx) = self.request_cx(now, out);
+        requests.expire(&mut cx);
+    }
+
+    fn tick_probes(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        for id in self.keeper.due_probes(now, &mut self.rng) {
+            if let Some(target) = self.view.catalog().target(id) {
+                out.push(Output::Probe { target: id, address: target.health });
+            }
+        }
+    }
+
+    fn read_platform(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        let versions =
+            [(Resource::Set, self.configuration.revision()), (Resource::Instances, self.membership.list_version())];
+        let watches = PlatformReader::watches(&self.view, self.membership.me());
+        for (resource, after) in versions {
+            if let Some(wait) = self.platform.due(now, resource, watches, &mut self.rng) {
+                out.push(Output::ReadPlatform(PlatformRead { resource, after, wait }));
+            }
+        }
+    }
+
+    fn platform_answered(&mut self, now: Timestamp, resource: Resource) {
+        let watches = PlatformReader::watches(&self.view, self.membership.me());
+        self.platform.answered(now, resource, watches, &mut self.rng);
+    }
+
+    fn set_read(&mut self, now: Timestamp, set: Arc<CheckedSet>, out: &mut Vec<Output>) {
+        self.platform_answered(now, Resource::Set);
+        self.offer(now, set, out);
+    }
+
+    fn instances_read(&mut self, now: Timestamp, list: &InstanceList) {
+        self.platform_answered(now, Resource::Instances);
+        self.membership.read_list(now, list);
+    }
+
+    fn offer(&mut self, now: Timestamp, set: Arc<CheckedSet>, out: &mut Vec<Output>) {
+        let revision = set.set().revision;
+        let before = self.configuration.catalog().digest();
+        let adoption = self.configuration.offer(now, set, &mut self.ledger);
+        if adoption == Adoption::Clash {
+            out.push(Output::Notice(Notice::SetClash { revision }));
+        }
+        if self.configuration.catalog().digest() == before {
+            return;
+        }
+        out.push(Output::Notice(Notice::SetAdopted { revision }));
+        if self.phase == Phase::Starting {
+            self.phase = Phase::Serving;
+        }
+        self.rebuild_view(now, out);
+        out.push(Output::CatalogChanged);
+    }
+
+    /// Makes a new view when membership has changed.
+    ///
+    /// It is done once a tick and not for each piece of news: a view of the largest fleet takes milliseconds, and an
+    /// instance that joins it hears of hundreds of others one by one.
+    fn follow_members(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        if self.membership.superseded() && self.phase != Phase::Superseded {
+            self.phase = Phase::Superseded;
+            out.push(Output::Superseded);
+        }
+        if self.membership.take_buried() {
+            self.flows.tell_again();
+        }
+        let changes = self.membership.take_changes();
+        if changes.is_empty() {
+            return;
+        }
+        out.extend(changes.into_iter().map(|(id, state)| Output::Notice(Notice::MemberChanged { id, state })));
+        self.rebuild_view(now, out);
+    }
+
+    fn rebuild_view(&mut self, now: Timestamp, out: &mut Vec<Output>) {
+        let view = View::new(Arc::clone(self.configuration.catalog()), self.membership.serving());
+        if view.digest() == self.view.digest() {
+            return;
+        }
+        let former = std::mem::replace(&mut self.view, view);
+        self.flows.view_changed(now, former, self.configuration.catalog());
+        let stranded = self.keeper.view_changed(now, &self.view, &mut self.rng);
+        self.requests.view_changed(&self.view, &self.membership.me().failure_domain);
+        let (requests, mut cx) = self.request_cx(now, out);
+        requests.stranded(&mut cx, stranded);
+        let closing = self.streams.leading_out_of_service(self.configuration.catalog());
+        out.extend(closing.into_iter().map(|stream| Output::CloseStream { stream }));
+        self.send_releases(out);
+    }
+
+    fn probed(&mut self, now: Timestamp, target: TargetId, report: Option<HealthReport>, out: &mut Vec<Output>) {
+        self.keeper.probed(now, target, report);
+        let (requests, mut cx) = self.request_cx(now, out);
+        requests.start_waiting(&mut cx);
+    }
+
+    fn stream_opened(&mut self, now: Timestamp, stream: StreamId, key: FlowKey, out: &mut Vec<Output>) {
+        let address = match self.fence {
+            Some(_) => None,
+            None => self.streams.open(now, stream, key, &self.view, &self.health),
+        };
+        connect_or_close(stream, address, out);
+    }
+}
+
+fn surroundings<'a>(
+    view: &'a View,
+    members: &'a Membership,
+    health: &'a HealthBook,
+    configuration: &Configuration,
+    fence: Option<&Fence>,
+) -> Surroundings<'a> {
+    Surroundings { view, members, health, adopted_at: configuration.adopted_at(), fenced: fence.is_some() }
+}
+
+fn connect_or_close(stream: StreamId, address: Option<SocketAddr>, out: &mut Vec<Output>) {
+    match address {
+        Some(address) => out.push(Output::ConnectStream { stream, address }),
+        None => out.push(Output::CloseStream { stream }),
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/state.rs
@@ -0,0 +1,55 @@
+//! The state of a node for operators.
+
+use super::Node;
+use crate::Timestamp;
+use crate::dump::ConfigurationDump;
+use crate::dump::Dump;
+use crate::dump::FlowDump;
+use crate::dump::KeptDump;
+
+impl Node {
+    /// Returns the state for operators.
+    #[must_use]
+    pub fn dump(&self, now: Timestamp) -> Dump {
+        let catalog = self.configuration.catalog();
+        let out = catalog.domains().iter().filter(|domain| !domain.in_service);
+        let kept = self.keeper.kept().map(|(id, status, running, limit)| {
+            let name = catalog
+                .target(id)
+                .map_or_else(String::new, |target| format!("{}/{}", catalog.group(target.group).name, target.name));
+            KeptDump { name, status, running, limit }
+        });
+        Dump {
+            me: self.membership.me().clone(),
+            phase: self.phase.name(),
+            uptime_ms: now.saturating_sub(self.started).as_millis(),
+            fenced: self.fence.is_some(),
+            configuration: ConfigurationDump {
+                revision: catalog.revision(),
+                digest: format!("{:016x}", catalog.digest()),
+                out: out.map(|domain| domain.name.clone()).collect(),
+                clashes: self.configuration.clashes(),
+                refused: self.configuration.refused(),
+            },
+            view: format!("{:016x}", self.view.digest()),
+            serving: self.view.serving().iter().map(|seat| seat.id).collect(),
+            members: self.membership.members().cloned().collect(),
+            flows: FlowDump {
+                held: self.flows.held(),
+                elsewhere: self.flows.elsewhere(),
+                earlier_views: self.flows.earlier_views(),
+                settled: self.flows.settled(),
+                counts: self.flows.counts().clone(),
+            },
+            streams: self.streams.len(),
+            requests: *self.requests.counts(),
+            requests_under_way: self.requests.under_way(),
+            running: self.keeper.running(),
+            queued: self.keeper.queued(),
+            tickets_remembered: self.tickets.remembered(),
+            answer_bytes: self.tickets.answer_bytes(),
+            kept: kept.collect(),
+            breaches: self.ledger.breaches(),
+        }
+    }
+}
--- a/crates/core/src/requests/mod.rs
+++ b/crates/core/src/requests/mod.rs
@@ -14,6 +14,7 @@
 //! ordered); `worst` in each entry sees to that.
 
 pub mod budget;
+mod outcome;
 pub mod routing;
 
 use std::collections::BTreeSet;
@@ -26,12 +27,9 @@
 use self::routing::Routing;
 use crate::Timestamp;
 use crate::catalog::GroupId;
-use crate::event::AnswerId;
 use crate::event::AnswerNote;
 use crate::event::AttemptNumber;
-use crate::event::Notice;
 use crate::event::Output;
-use crate::event::Reply;
 use crate::event::RequestId;
 use crate::invariants::Invariant;
 use crate::invariants::Ledger;
@@ -46,7 +44,6 @@
 use crate::message::Refusal;
 use crate::tickets::LastWord;
 use crate::tickets::Presented;
-use crate::tickets::RunEnd;
 use crate::tickets::Serial;
 use crate::tickets::Ticket;
 use crate::tickets::Tickets;
@@ -64,8 +61,6 @@
 const MAX_REQUESTS: usize = 20_000;
 /// What each hop takes off the time left, so that the instance nearest the target gives up first and can say why.
 const HOP_MARGIN: Duration = Duration::from_millis(20);
-/// When a caller that was refused for lack of room is told to come back.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// What the request decisions look at and act on besides their own state.
 pub struct RequestCx<'a> {
@@ -609,99 +604,6 @@
             }
         }
     }
-
-    fn remove(&mut self, request: RequestId) -> Option<Entry> {
-        let entry = self.entries.remove(&request)?;
-        self.deadlines.remove(&(entry.deadline, request));
-        Some(entry)
-    }
-
-    fn drop_late(&mut self, cx: &mut RequestCx<'_>, answer: Option<AnswerNote>) {
-        if let Some(answer) = answer {
-            self.counts.late_answers += 1;
-            cx.out.push(Output::ForgetAnswer { answer: answer.id });
-        }
-    }
-
-    /// Ends a request, and all that wait for the same ticket, with an answer.
-    fn answer(&mut self, cx: &mut RequestCx<'_>, request: RequestId, answer: AnswerNote) {
-        let Some(entry) = self.remove(request) else { return };
-        self.reply_answer(cx, request, &entry, answer.id);
-        let Some(serial) = entry.serial else {
-            cx.out.push(Output::ForgetAnswer { answer: answer.id });
-            return;
-        };
-        let settlement = cx.tickets.settle(serial, RunEnd::Answered(answer), cx.ledger);
-        for waiter in settlement.waiting {
-            self.answer_kept(cx, waiter, answer.id);
-        }
-        cx.out.extend(settlement.dropped.into_iter().map(|answer| Output::ForgetAnswer { answer }));
-    }
-
-    /// Ends a request with an answer that is kept under its ticket.
-    fn answer_kept(&mut self, cx: &mut RequestCx<'_>, request: RequestId, answer: AnswerId) {
-        if let Some(entry) = self.remove(request) {
-            self.reply_answer(cx, request, &entry, answer);
-        }
-    }
-
-    fn reply_answer(&mut self, cx: &mut RequestCx<'_>, request: RequestId, entry: &Entry, answer: AnswerId) {
-        self.counts.answered += 1;
-        let ticket = next_ticket(cx, entry.part, entry.service, entry.idempotent);
-        let free = free_for(cx, entry.part, entry.group);
-        cx.out.push(Output::Reply { request, reply: Reply::Answer { answer, ticket, free } });
-    }
-
-    /// Ends a request, and all that wait for the same ticket, without an answer.
-    fn refuse(&mut self, cx: &mut RequestCx<'_>, request: RequestId, verdict: Verdict, reason: Reason) {
-        let Some(entry) = self.remove(request) else { return };
-        let verdict = verdict.max(entry.worst);
-        if verdict == Verdict::NotRun {
-            cx.ledger.assert(!entry.exposed, Invariant::NotRunIsTrue);
-        }
-        let refusal = Refusal { verdict, reason };
-        if verdict == Verdict::MayHaveRun && !entry.idempotent && entry.part != Part::Keeper {
-            cx.out.push(Output::Notice(Notice::OutcomeUnknown { service: entry.service, reason }));
-        }
-        self.reply_refusal_for(cx, request, &entry, refusal);
-        let Some(serial) = entry.serial else { return };
-        let end = if verdict == Verdict::NotRun { RunEnd::NotRun } else { RunEnd::Unknown(refusal) };
-        let settlement = cx.tickets.settle(serial, end, cx.ledger);
-        for waiter in settlement.waiting {
-            if let Some(entry) = self.remove(waiter) {
-                self.reply_refusal_for(cx, waiter, &entry, refusal);
-            }
-        }
-    }
-
-    fn reply_refusal_for(&mut self, cx: &mut RequestCx<'_>, request: RequestId, entry: &Entry, refusal: Refusal) {
-        if entry.abandoned && entry.idempotent {
-            return;
-        }
-        self.reply_refusal(cx, request, entry.part, entry.service, refusal);
-    }
-
-    fn reply_refusal(
-        &mut self,
-        cx: &mut RequestCx<'_>,
-        request: RequestId,
-        part: Part,
-        service: ServiceId,
-        refusal: Refusal,
-    ) {
-        match refusal.verdict {
-            Verdict::NotRun => self.counts.not_run += 1,
-            Verdict::MayHaveRun | Verdict::Answered => self.counts.may_have_run += 1,
-        }
-        let wants_ticket =
-            matches!(refusal.reason, Reason::TicketRequired | Reason::TicketInvalid | Reason::TicketExpired);
-        let ticket = if wants_ticket { next_ticket(cx, part, service, false) } else { None };
-        let group = cx.view.catalog().service(service).map(|service| service.group_id);
-        let free = group.and_then(|group| free_for(cx, part, group));
-        let retry_after = is_passing(refusal.reason).then_some(RETRY_AFTER);
-        let reply = Reply::Refuse { refusal, ticket, retry_after, free };
-        cx.out.push(Output::Reply { request, reply });
-    }
 }
 
 impl Entry {
@@ -711,32 +613,8 @@
     }
 }
 
-/// Issues a ticket for the caller's next non-idempotent request; only where the caller is answered from.
-fn next_ticket(cx: &mut RequestCx<'_>, part: Part, service: ServiceId, idempotent: bool) -> Option<String> {
-    let to_caller = matches!(part, Part::Owner | Part::Entry);
-    (to_caller && !idempotent && !cx.closed).then(|| cx.tickets.issue(cx.now, service))
-}
-
 /// Tells whether a ticket names this life of this instance.
 fn is_own(text: &str, members: &Membership) -> bool {
     let me = members.me();
     Ticket::parse(text).is_ok_and(|ticket| ticket.issuer == me.id && ticket.incarnation == me.incarnation)
 }
-
-/// Tells whether what a request was refused for is likely to pass soon.
-fn is_passing(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::Overloaded
-            | Reason::NoTarget
-            | Reason::Fenced
-            | Reason::Stopping
-            | Reason::RefusedByTarget
-            | Reason::TableFull
-    )
-}
-
-/// Returns what a keeper tells the owner of a request about its free slots.
-fn free_for(cx: &RequestCx<'_>, part: Part, group: GroupId) -> Option<u32> {
-    (part == Part::Keeper).then(|| cx.keeper.spare_slots(cx.now, group, cx.trust))
-}
