No settling messages; a suspected instance hears of it at once

Cause: the slopes example at 430 nodes counted 682 messages and 426 KB a node and second 14 s after a start: each change of view had everyone tell everyone that it was settled (at 128 nodes 172,312 of 182,408 messages in the first 3 s). An open chain costs two hops for the new flows alone whose home has moved. The messages, the second word and the bookkeeping are gone; a joiner hears of 16 members a heartbeat instead of 6. Found by the test of the late waker: an instance that works was buried 3 s after a second of lost messages, since it had not heard that it was suspected. A heartbeat now says first what is believed of its addressee. Conclusion: less to say, and nothing to be wrong about.

--- a/crates/core/src/flows/chain.rs
+++ b/crates/core/src/flows/chain.rs
@@ -1,32 +1,33 @@
 //! The earlier views whose homes may still hold flows that the present view places elsewhere.
+//!
+//! A view is remembered for a fixed time, several times what telling takes. An earlier design closed the chain as soon
+//! as every peer had said that it was done; that took a message from everyone to everyone at each change (682 a node
+//! and second at 430 nodes after a start), and was wrong twice. Leaving it open costs two hops for those new flows alone
+//! whose home the change has moved.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::Timestamp;
-use crate::maps::Map;
 use crate::view::View;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::ServiceId;
 
-/// Earlier views remembered at most; a rolling restart of nine instances makes eighteen in quick succession, and the
-/// telling of flows usually settles each before the next but one.
-const MAX_VIEWS: usize = 6;
+/// Earlier views remembered at most; a rolling restart of nine instances makes eighteen in quick succession.
+const MAX_VIEWS: usize = 12;
 
 /// Earlier views, the latest first.
 #[derive(Clone, Debug)]
 pub struct Chain {
     views: VecDeque<(Timestamp, View)>,
     memory: Duration,
-    /// The view under which each instance has last told everything, since the last change of view here.
-    settled: Map<InstanceId, u64>,
 }
 
 impl Chain {
     /// Starts without earlier views; each is remembered for `memory` at the most.
     #[must_use]
     pub fn new(memory: Duration) -> Self {
-        Self { views: VecDeque::new(), memory, settled: Map::default() }
+        Self { views: VecDeque::new(), memory }
     }
 
     /// Returns how many earlier views are remembered.
@@ -42,11 +43,7 @@
     }
 
     /// Remembers a view that has just been replaced.
-    ///
-    /// Who had settled before has to say so again: a fleet that goes from one view to another and back has the same
-    /// view as before, but flows that were started in between.
     pub fn remember(&mut self, now: Timestamp, view: View) {
-        self.settled.clear();
         self.views.push_front((now, view));
         self.views.truncate(MAX_VIEWS);
     }
@@ -57,11 +54,6 @@
         self.remember(now, view);
     }
 
-    /// Notes that an instance has told everything that it holds under its view.
-    pub fn settled(&mut self, id: InstanceId, view: u64) {
-        self.settled.insert(id, view);
-    }
-
     /// Returns the instances, other than `me`, that were the flow's home under earlier views; the latest first, each
     /// once.
     ///
@@ -80,13 +72,9 @@
         candidates
     }
 
-    /// Forgets views that were replaced too long ago, and all of them once every one of `others` has told everything
-    /// under the present view.
-    pub fn expire(&mut self, now: Timestamp, present: u64, mut others: impl Iterator<Item = InstanceId>) {
+    /// Forgets views that were replaced too long ago.
+    pub fn expire(&mut self, now: Timestamp) {
         let memory = self.memory;
         self.views.retain(|(at, _)| now.saturating_sub(*at) < memory);
-        if !self.views.is_empty() && others.all(|id| self.settled.get(&id) == Some(&present)) {
-            self.views.clear();
-        }
     }
 }
--- a/crates/core/src/flows/mod.rs
+++ b/crates/core/src/flows/mod.rs
@@ -11,9 +11,9 @@
 //!
 //! # How packets find a flow while news travels
 //!
-//! Until the earlier homes have told everything, the new home asks them ([`chain`]): an unknown flow's packet goes to
-//! the home under each earlier view in turn, which either serves it or returns it. Only when all have returned it does
-//! the home take it for a new flow. Every forwarding lowers the packet's hops, so that no pair of views can loop; a
+//! For as long as earlier views are remembered, the new home asks their homes ([`chain`]): an unknown flow's packet goes
+//! to the home under each earlier view in turn, which either serves it or returns it. Only when all have returned it
+//! does the home take it for a new flow. Every forwarding lowers the packet's hops, so that no pair of views can loop; a
 //! packet out of hops whose flow is unknown starts a flow where it is, and that flow is told to its home like any
 //! other.
 
@@ -465,11 +465,6 @@
         self.telling.restart();
     }
 
-    /// Takes note that an instance has told everything it had for this one under a view.
-    pub fn peer_settled(&mut self, from: InstanceId, view: u64) {
-        self.chain.settled(from, view);
-    }
-
     /// Takes over a batch of flows, or notes where they are; returns the records that have to go.
     ///
     /// Two instances can come to hold one flow: each side of a partition starts it, or a packet overtakes the word of
@@ -529,12 +524,11 @@
         }
     }
 
-    /// Does what is due: expiry, telling and handing over. Returns batches to send and views that are settled.
-    pub fn tick(&mut self, now: Timestamp, cx: Surroundings<'_>) -> FlowNews {
+    /// Does what is due: expiry, telling and handing over. Returns batches to send, each with its addressee.
+    pub fn tick(&mut self, now: Timestamp, cx: Surroundings<'_>) -> Vec<(InstanceId, FlowBatch)> {
         let catalog = cx.view.catalog();
         self.counts.expired += self.table.expire(now, |service| catalog.service(service).map(|entry| entry.idle));
-        let others = cx.members.reachable().map(|update| update.id);
-        self.chain.expire(now, cx.view.digest(), others);
+        self.chain.expire(now);
         if self.chain.is_empty() {
             self.doubted = None;
         }
@@ -551,15 +545,6 @@
     pub others: BTreeMap<InstanceId, Vec<SocketAddr>>,
 }
 
-/// What a tick wants sent.
-#[derive(Clone, Debug, Default)]
-pub struct FlowNews {
-    /// Batches, each with its addressee.
-    pub batches: Vec<(InstanceId, FlowBatch)>,
-    /// Instances that have been told everything under the present view.
-    pub settled: Vec<InstanceId>,
-}
-
 fn note(catalog: &Catalog, target: &TargetEntry) -> TargetNote {
     TargetNote { id: target.id, address: target.address, failure_domain: catalog.domains()[target.domain].name.clone() }
 }
--- a/crates/core/src/flows/telling.rs
+++ b/crates/core/src/flows/telling.rs
@@ -4,14 +4,11 @@
 //! is told there, or handed over when this instance no longer serves. One that stays is told to the home's standby too,
 //! the instance that becomes its home when the home dies: else the word would die with the home, and the standby would
 //! take the flow for a new one before its holder has even noticed. Batches are numbered and sent again until they
-//! are confirmed; both ends take a repeated one without harm. When nothing is left for an instance, it is told that
-//! it has heard everything under this view, which closes its chain for this sender.
+//! are confirmed; both ends take a repeated one without harm.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::FlowNews;
 use super::Surroundings;
 use super::table::FlowTable;
 use super::table::Held;
@@ -25,8 +22,6 @@
 
 /// Time after which flows that stay behind are told again, so that those who were told do not forget them.
 pub const TELL_PERIOD: Duration = Duration::from_mins(2);
-/// Time after which it is said once more that everything has been told.
-const SECOND_WORD: Duration = Duration::from_secs(2);
 /// Records looked at in one tick.
 const SCAN_SLICE: usize = 20_000;
 /// Flows in one batch.
@@ -56,10 +51,6 @@
     backlog: Backlog,
     pending: BTreeMap<Sequence, Pending>,
     next_sequence: Sequence,
-    announced: BTreeSet<InstanceId>,
-    /// When everything was first told under the present view.
-    idle_since: Option<Timestamp>,
-    announced_again: bool,
     /// Flows have come since the last walk that may belong elsewhere.
     dirty: bool,
     /// The last walk found flows that stay behind.
@@ -73,9 +64,6 @@
         self.cursor = Some(0);
         self.backlog.clear();
         self.pending.clear();
-        self.announced.clear();
-        self.idle_since = None;
-        self.announced_again = false;
     }
 
     /// Notes that a flow has come whose home is another instance.
@@ -99,32 +87,24 @@
     }
 
     /// Looks at a slice of the flows and returns what to send now.
-    pub fn tick(&mut self, now: Timestamp, me: InstanceId, table: &FlowTable, cx: Surroundings<'_>) -> FlowNews {
+    pub fn tick(
+        &mut self,
+        now: Timestamp,
+        me: InstanceId,
+        table: &FlowTable,
+        cx: Surroundings<'_>,
+    ) -> Vec<(InstanceId, FlowBatch)> {
         let due = self.dirty || (self.has_strays && now >= self.next_round);
         if due && self.is_idle() {
             self.cursor = Some(0);
         }
         self.scan(now, me, table, cx);
-        let mut news = FlowNews::default();
+        let mut news = Vec::new();
         self.resend(now, &mut news);
         self.send(now, table, &mut news);
-        if self.is_idle() {
-            self.announce_again(now);
-            let peers = cx.members.reachable().map(|update| update.id);
-            news.settled.extend(peers.filter(|id| self.announced.insert(*id)));
-        }
         news
     }
 
-    /// Has everyone told once more that all is told: a peer that changed its view later has not counted the first word.
-    fn announce_again(&mut self, now: Timestamp) {
-        let first = *self.idle_since.get_or_insert(now);
-        if !self.announced_again && now.saturating_sub(first) >= SECOND_WORD {
-            self.announced.clear();
-            self.announced_again = true;
-        }
-    }
-
     fn scan(&mut self, now: Timestamp, me: InstanceId, table: &FlowTable, cx: Surroundings<'_>) {
         let Some(start) = self.cursor else { return };
         if start == 0 {
@@ -152,7 +132,7 @@
         self.cursor = (end < table.span()).then_some(end);
     }
 
-    fn resend(&mut self, now: Timestamp, news: &mut FlowNews) {
+    fn resend(&mut self, now: Timestamp, news: &mut Vec<(InstanceId, FlowBatch)>) {
         let before = self.pending.len();
         self.pending.retain(|_, pending| pending.sends < MAX_SENDS || now.saturating_sub(pending.sent) < RESEND);
         // What could not be told is looked at again: by then the view may name another home.
@@ -160,11 +140,11 @@
         for pending in self.pending.values_mut().filter(|pending| now.saturating_sub(pending.sent) >= RESEND) {
             pending.sent = now;
             pending.sends += 1;
-            news.batches.push((pending.to, pending.batch.clone()));
+            news.push((pending.to, pending.batch.clone()));
         }
     }
 
-    fn send(&mut self, now: Timestamp, table: &FlowTable, news: &mut FlowNews) {
+    fn send(&mut self, now: Timestamp, table: &FlowTable, news: &mut Vec<(InstanceId, FlowBatch)>) {
         while self.pending.len() < WINDOW {
             let Some(mut entry) = self.backlog.first_entry() else { return };
             let (to, seat, handover) = *entry.key();
@@ -182,7 +162,7 @@
                 handover,
                 flows,
             };
-            news.batches.push((to, batch.clone()));
+            news.push((to, batch.clone()));
             self.pending.insert(self.next_sequence, Pending { to, batch, sent: now, sends: 1 });
         }
     }
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -33,6 +33,8 @@
 const EXTRA_SENDS: u32 = 2;
 /// Most pieces of news on one heartbeat.
 const MAX_NEWS: usize = 6;
+/// Most members on one heartbeat to a peer whose view differs; one that joins has to hear of everybody.
+const MAX_CATCH_UP: usize = 16;
 /// Instances asked to ping one that does not answer.
 const INDIRECT_PINGS: usize = 2;
 /// Time after which an instance that is dead and that the platform no longer lists is forgotten.
@@ -316,9 +318,14 @@
         fleet.ilog2() + EXTRA_SENDS
     }
 
-    /// Returns the news that the next heartbeat carries; all of it in turn when the peer's view differs.
-    pub fn news(&mut self, rng: &mut SmallRng, differs: bool) -> Vec<MemberUpdate> {
-        let mut news = Vec::new();
+    /// Returns the news that the next heartbeat to `to` carries; all of it in turn when that peer's view differs.
+    ///
+    /// What is believed of the peer itself goes first unless it is that it lives. Only the peer can refute, and it has
+    /// to hear of a suspicion well before the suspicion time is over; by chance it would hear too late now and then,
+    /// and an instance that works would be buried.
+    pub fn news(&mut self, rng: &mut SmallRng, to: InstanceId, differs: bool) -> Vec<MemberUpdate> {
+        let believed = self.member(to).filter(|update| update.state > MemberState::Alive);
+        let mut news: Vec<MemberUpdate> = believed.cloned().into_iter().collect();
         for member in self.members.values_mut().filter(|member| member.sends_left > 0).take(MAX_NEWS) {
             member.sends_left -= 1;
             news.push(member.update.clone());
@@ -326,7 +333,7 @@
         if differs {
             let known = self.members.values().filter(|member| member.update.state != MemberState::Listed);
             let more = known.map(|member| &member.update).filter(|update| !news.contains(update));
-            let more = more.choose_multiple(rng, MAX_NEWS.saturating_sub(news.len()));
+            let more = more.choose_multiple(rng, MAX_CATCH_UP.saturating_sub(news.len()));
             let more: Vec<_> = more.into_iter().cloned().collect();
             news.extend(more);
         }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -85,11 +85,6 @@
         /// The flows' callers.
         callers: Vec<SocketAddr>,
     },
-    /// Says that every flow that the receiver is home of under the named view has been told.
-    Settled {
-        /// Hash of the view.
-        view: u64,
-    },
     /// Tells a target's new keeper what the former one still runs there.
     KeeperRelease {
         /// The target.
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -54,7 +54,6 @@
             PeerMessage::FlowBatchAck { sequence, superseded } => {
                 self.flows.batch_acknowledged(now, sequence, &superseded);
             }
-            PeerMessage::Settled { view } => self.flows.peer_settled(from, view),
             PeerMessage::KeeperRelease { target, running } => {
                 self.keeper.released_by(now, from, target, running);
                 let (requests, mut cx) = self.request_cx(now, out);
@@ -115,7 +114,7 @@
             revision: self.configuration.revision(),
             set_digest: self.configuration.catalog().digest(),
             view: self.view.digest(),
-            members: self.membership.news(&mut self.rng, differs),
+            members: self.membership.news(&mut self.rng, to, differs),
             targets: if near { self.keeper.news(false) } else { Vec::new() },
         }
     }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -267,14 +267,10 @@
     fn tick_flows(&mut self, now: Timestamp, out: &mut Vec<Output>) {
         let Self { flows, view, membership, health, configuration, fence, .. } = self;
         let cx = surroundings(view, membership, health, configuration, fence.as_ref());
-        let news = flows.tick(now, cx);
-        let view = self.view.digest();
-        for (to, batch) in news.batches {
+        let batches = flows.tick(now, cx);
+        for (to, batch) in batches {
             self.send(to, PeerMessage::FlowBatch(batch), out);
         }
-        for to in news.settled {
-            self.send(to, PeerMessage::Settled { view }, out);
-        }
     }
 
     fn tick_requests(&mut self, now: Timestamp, out: &mut Vec<Output>) {
