--- a/crates/core/examples/slopes.rs
+++ b/crates/core/examples/slopes.rs
@@ -39,7 +39,7 @@
 use hawthornshift_model::FlowKey;
 use hawthornshift_model::PublishedSet;
 
-/// Bytes that JSON-RPC and HTTP add to a message and its answer, read off a capture of the demo's traffic.
+/// Bytes that JSON-RPC and HTTP add to a message and its answer: an estimate from the heads they write.
 const ENVELOPE_OVERHEAD: usize = 420;
 
 fn resident_bytes() -> usize {
