Health checks read a target's load too

Change: 'running' in the answer is shown in the dump beside this instance's own count. It decides nothing: it lags, and slots are counted exactly. Conclusion: a lasting difference tells operators that someone else uses the target.

--- a/crates/adapters/src/probe.rs
+++ b/crates/adapters/src/probe.rs
@@ -1,4 +1,6 @@
-//! Health checks of targets: `GET /health`, answered with `{"state":"cold"}`, `"warm"` or `"leaving"`.
+//! Health and load checks of targets: `GET /health`, answered with `{"state":"cold","running":1}`.
+//!
+//! The state is `cold`, `warm` or `leaving`; `running`, the requests under way, may be left out.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,6 +23,8 @@
 #[derive(Debug, Deserialize)]
 struct Health {
     state: HealthReport,
+    #[serde(default)]
+    running: Option<u32>,
 }
 
 impl Engine {
@@ -28,7 +32,8 @@
     pub(crate) async fn probe(self: Arc<Self>, target: TargetId, address: SocketAddr) {
         let answer = Call::get(address, "/health", TIMEOUT, LIMIT).send().await;
         let report = answer.ok().filter(|answer| answer.status.is_success());
-        let report = report.and_then(|answer| serde_json::from_slice::<Health>(&answer.body).ok());
-        self.feed(Input::Probed { target, report: report.map(|health| health.state) });
+        let health = report.and_then(|answer| serde_json::from_slice::<Health>(&answer.body).ok());
+        let load = health.as_ref().and_then(|health| health.running);
+        self.feed(Input::Probed { target, report: health.map(|health| health.state), load });
     }
 }
--- a/crates/core/benches/support/mod.rs
+++ b/crates/core/benches/support/mod.rs
@@ -100,7 +100,7 @@
         node.handle(now, Input::Tick, &mut out);
         for output in std::mem::take(&mut out) {
             if let Output::Probe { target, .. } = output {
-                node.handle(now, Input::Probed { target, report: Some(HealthReport::Warm) }, &mut out);
+                node.handle(now, Input::Probed { target, report: Some(HealthReport::Warm), load: None }, &mut out);
             }
         }
     }
--- a/crates/core/examples/slopes.rs
+++ b/crates/core/examples/slopes.rs
@@ -198,7 +198,7 @@
             }
             Output::Probe { target, .. } => {
                 let report = Some(HealthReport::Warm);
-                queue.push_back((id, Input::Probed { target, report }));
+                queue.push_back((id, Input::Probed { target, report, load: None }));
             }
             _ => {}
         }
--- a/crates/core/src/dump.rs
+++ b/crates/core/src/dump.rs
@@ -97,4 +97,6 @@
     pub running: u32,
     /// What its ramp allows.
     pub limit: u32,
+    /// Requests that it says it runs, when its health endpoint tells.
+    pub reported_load: Option<u32>,
 }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -85,6 +85,8 @@
         target: TargetId,
         /// What it said, or nothing when it could not be reached.
         report: Option<HealthReport>,
+        /// Requests that it said it runs.
+        load: Option<u32>,
     },
     /// A request came from a caller.
     RequestArrived {
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -19,6 +19,7 @@
 use crate::Timestamp;
 use crate::catalog::GroupId;
 use crate::catalog::TargetEntry;
+use crate::dump::KeptDump;
 use crate::event::HealthReport;
 use crate::event::RequestId;
 use crate::health::TargetStatus;
@@ -78,6 +79,7 @@
     ramp: Ramp,
     down: bool,
     reported: Option<HealthReport>,
+    reported_load: Option<u32>,
     failures: u32,
     last_good: Option<Timestamp>,
     next_probe: Timestamp,
@@ -98,6 +100,7 @@
             ramp: Ramp::cold(target.slots),
             down: false,
             reported: None,
+            reported_load: None,
             failures: 0,
             last_good: None,
             next_probe,
@@ -233,9 +236,16 @@
         }
     }
 
-    /// Returns the targets kept, each with its state, running requests and limit.
-    pub fn kept(&self) -> impl Iterator<Item = (TargetId, TargetStatus, u32, u32)> {
-        self.kept.iter().map(|(id, kept)| (*id, kept.status(), kept.running, kept.ramp.limit()))
+    /// Returns the targets kept, as operators see them; `name` tells a target's name.
+    pub fn kept(&self, name: impl Fn(TargetId) -> String) -> Vec<KeptDump> {
+        let show = |(id, kept): (&TargetId, &Kept)| KeptDump {
+            name: name(*id),
+            status: kept.status(),
+            running: kept.running,
+            limit: kept.ramp.limit(),
+            reported_load: kept.reported_load,
+        };
+        self.kept.iter().map(show).collect()
     }
 
     /// Returns the requests that run at targets now.
@@ -469,6 +479,16 @@
         }
     }
 
+    /// Notes how many requests a target says it runs.
+    ///
+    /// It is shown to operators beside this instance's own count, and decides nothing: it lags, and slots are counted
+    /// here exactly. A lasting difference tells that someone else uses the target.
+    pub fn note_load(&mut self, target: TargetId, load: Option<u32>) {
+        if let Some(kept) = self.kept.get_mut(&target) {
+            kept.reported_load = load;
+        }
+    }
+
     /// Returns the states that have changed since the last call, or of all targets that are not warm.
     pub fn news(&mut self, only_changed: bool) -> Vec<TargetNews> {
         let mut news = Vec::new();
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -177,7 +177,10 @@
                 let watches = PlatformReader::watches(&self.view, self.membership.me());
                 self.platform.failed(now, resource, watches, &mut self.rng);
             }
-            Input::Probed { target, report } => self.probed(now, target, report, out),
+            Input::Probed { target, report, load } => {
+                self.keeper.note_load(target, load);
+                self.probed(now, target, report, out);
+            }
             Input::StreamOpened { stream, service, caller } => {
                 self.stream_opened(now, stream, FlowKey { service, caller }, out);
             }
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -5,7 +5,6 @@
 use crate::dump::ConfigurationDump;
 use crate::dump::Dump;
 use crate::dump::FlowDump;
-use crate::dump::KeptDump;
 
 impl Node {
     /// Returns the state for operators.
@@ -13,12 +12,10 @@
     pub fn dump(&self, now: Timestamp) -> Dump {
         let catalog = self.configuration.catalog();
         let out = catalog.domains().iter().filter(|domain| !domain.in_service);
-        let kept = self.keeper.kept().map(|(id, status, running, limit)| {
-            let name = catalog
-                .target(id)
-                .map_or_else(String::new, |target| format!("{}/{}", catalog.group(target.group).name, target.name));
-            KeptDump { name, status, running, limit }
-        });
+        let name = |id| {
+            let target = catalog.target(id);
+            target.map_or_else(String::new, |target| format!("{}/{}", catalog.group(target.group).name, target.name))
+        };
         Dump {
             me: self.membership.me().clone(),
             phase: self.phase.name(),
@@ -48,7 +45,7 @@
             queued: self.keeper.queued(),
             tickets_remembered: self.tickets.remembered(),
             answer_bytes: self.tickets.answer_bytes(),
-            kept: kept.collect(),
+            kept: self.keeper.kept(name),
             breaches: self.ledger.breaches(),
         }
     }
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -669,7 +669,7 @@
         let report = state.map(|cold| if cold { HealthReport::Cold } else { HealthReport::Warm });
         let life = host.life;
         let delay = self.delay() * 2;
-        self.after(delay, Event::Deliver { id, life, input: Box::new(Input::Probed { target, report }) });
+        self.after(delay, Event::Deliver { id, life, input: Box::new(Input::Probed { target, report, load: None }) });
     }
 
     fn note_arrival(&mut self, address: SocketAddr) {
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -256,7 +256,7 @@
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         if request.uri().path() == "/health" {
-            return respond(StatusCode::OK, format!("{{\"state\":\"{}\"}}", self.state()));
+            return respond(StatusCode::OK, self.health_text());
         }
         let order = request.headers().get(ORDER_HEADER).and_then(|value| value.to_str().ok()).map(str::to_owned);
         let service = request.uri().path().trim_matches('/').to_owned();
@@ -277,13 +277,14 @@
         respond(StatusCode::OK, format!("{} {} {}", self.name, order.unwrap_or_default(), body.to_bytes().len()))
     }
 
-    fn state(&self) -> &'static str {
+    fn health_text(&self) -> String {
         let inner = self.lock();
-        match (inner.leaving, inner.cold) {
+        let state = match (inner.leaving, inner.cold) {
             (true, _) => "leaving",
             (false, true) => "cold",
             (false, false) => "warm",
-        }
+        };
+        format!("{{\"state\":\"{state}\",\"running\":{}}}", inner.running)
     }
 
     /// Takes a slot, or sheds when there is none.
