Tests of ramps, holds, channels and classes by themselves

Cause: the mutation check showed that no test failed with a ramp that starts warm, a keeper that does not hold, or a channel used again at once. Change: four tests that play just these.

--- /dev/null
+++ b/crates/core/tests/targets.rs
@@ -0,0 +1,116 @@
+//! What targets are given: ramps, holds of new keepers, channels of flows.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use hawthornshift_core::Catalog;
+use hawthornshift_core::Tuning;
+use hawthornshift_core::flows::table::FlowTable;
+use hawthornshift_core::invariants::Ledger;
+use hawthornshift_core::keeper::Admission;
+use hawthornshift_core::keeper::Keeper;
+use hawthornshift_core::message::TargetNote;
+use hawthornshift_core::ramp::Ramp;
+use hawthornshift_core::view::Seat;
+use hawthornshift_core::view::Trust;
+use hawthornshift_core::view::View;
+use hawthornshift_model::CheckedSet;
+use hawthornshift_model::Class;
+use hawthornshift_model::FlowKey;
+
+/// A target that has just started is given its full load at once and falls over. Its limit has to start low, rise only
+/// by good answers, and rise more slowly after each fall.
+#[test]
+fn a_cold_target_is_raised_by_answers_and_more_slowly_after_a_fall() {
+    let answers_to_warm = |ramp: &mut Ramp, caution: u32| {
+        let mut answers = 0;
+        while !ramp.is_warm() {
+            ramp.prove(caution);
+            answers += 1;
+        }
+        answers
+    };
+    let mut ramp = Ramp::cold(2);
+    assert_eq!(ramp.limit(), 1);
+    assert_eq!(answers_to_warm(&mut ramp.clone(), 10), 60);
+    assert_eq!(answers_to_warm(&mut ramp, 1), 6);
+    ramp.restart();
+    assert_eq!(ramp.limit(), 1);
+    assert_eq!(answers_to_warm(&mut ramp, 1), 12);
+    assert_eq!(Ramp::cold(2_000).limit(), 31);
+}
+
+/// A keeper dies or is paused with requests running at its target, and another takes its place. Were it to start at
+/// once, the target would get the load of both. It waits until the former must have stopped, or has said what it runs.
+#[test]
+fn a_new_keeper_gives_nothing_before_the_former_has_stopped() {
+    let catalog = Arc::new(Catalog::new(Arc::new(CheckedSet::new(support::set()).unwrap())));
+    let group = catalog.services().find(|service| service.name == "suscripciones").unwrap().group_id;
+    let alone = View::new(Arc::clone(&catalog), [(Seat { id: 0, incarnation: 1 }, "norte")]);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut ledger = Ledger::default();
+    let start = Duration::from_secs(10);
+    let mut keeper = Keeper::new(0, Tuning::default());
+    keeper.view_changed(start, &alone, &mut rng);
+    let mut admit = |keeper: &mut Keeper, now, request| {
+        keeper.admit(now, request, group, Class::Critical, Trust::Fresh, &mut ledger)
+    };
+    assert_eq!(admit(&mut keeper, start, 1), Admission::Queued);
+    let released = keeper.kept(|id| id.to_string()).iter().find_map(|kept| {
+        let id = kept.name.parse().ok()?;
+        (catalog.target(id)?.group_id == group).then_some(id)
+    });
+    keeper.released_by(start, 4, released.unwrap(), 1);
+    let now = start + Duration::from_millis(10);
+    assert!(keeper.start_waiting(now, Trust::Fresh, &mut Ledger::default()).is_empty(), "the former still runs one");
+    keeper.released_by(now, 4, released.unwrap(), 0);
+    assert_eq!(keeper.start_waiting(now, Trust::Fresh, &mut Ledger::default()), [(1, released.unwrap())]);
+    assert_eq!(admit(&mut keeper, now, 2), Admission::Queued);
+    let later = start + Duration::from_secs(2);
+    assert_eq!(keeper.start_waiting(later, Trust::Fresh, &mut Ledger::default()).len(), 1);
+}
+
+/// A flow ends and another starts at the same target at once. A late packet of the target for the first would reach
+/// the caller of the second if both had the same local port.
+#[test]
+fn a_channel_rests_before_it_is_used_again() {
+    let note = TargetNote { id: 1, address: "10.0.0.9:8080".parse().unwrap(), failure_domain: "norte".to_owned() };
+    let key = |last: u8| FlowKey { service: 5, caller: ([10, 0, 0, last], 4_000).into() };
+    let mut table = FlowTable::new(100);
+    let now = Duration::from_secs(1);
+    let first = table.insert_here(now, key(1), &note, 0).unwrap();
+    table.remove(now, &key(1));
+    let second = table.insert_here(now + Duration::from_secs(30), key(2), &note, 0).unwrap();
+    assert_ne!(first, second);
+    assert!(table.find_by_channel(now, note.address, first, None).is_none());
+    let third = table.insert_here(now + Duration::from_secs(61), key(3), &note, 0).unwrap();
+    assert_eq!(first, third);
+}
+
+/// Reports wait for the counters. When both want the last slots of one group, the counters go first, and a report that
+/// waits makes room for them.
+#[test]
+fn critical_requests_go_before_bulk_ones() {
+    let catalog = Arc::new(Catalog::new(Arc::new(CheckedSet::new(support::set()).unwrap())));
+    let group = catalog.services().find(|service| service.name == "suscripciones").unwrap().group_id;
+    let alone = View::new(Arc::clone(&catalog), [(Seat { id: 0, incarnation: 1 }, "norte")]);
+    let mut keeper = Keeper::new(0, Tuning::default());
+    let now = Duration::from_secs(10);
+    keeper.view_changed(now, &alone, &mut SmallRng::seed_from_u64(1));
+    let mut ledger = Ledger::default();
+    let mut admit = |request, class| keeper.admit(now, request, group, class, Trust::Fresh, &mut ledger);
+    let room = 14 * 2 * 4;
+    for request in 0..room {
+        assert_eq!(admit(request, Class::Bulk), Admission::Queued);
+    }
+    assert_eq!(admit(room, Class::Bulk), Admission::Full);
+    assert_eq!(admit(room + 1, Class::Critical), Admission::QueuedInsteadOf(room - 1));
+    let later = now + Duration::from_secs(2);
+    let started = keeper.start_waiting(later, Trust::Fresh, &mut Ledger::default());
+    assert_eq!(started.first().map(|(request, _)| *request), Some(room + 1));
+}
