--- a/crates/core/src/flows/mod.rs
+++ b/crates/core/src/flows/mod.rs
@@ -469,7 +469,7 @@
     ///
     /// Two instances can come to hold one flow: each side of a partition starts it, or a packet overtakes the word of
     /// where it is. Left alone, packets would go to one target or the other depending on where they enter, so one of
-    /// the records has to go ([`FlowNote::holds_over`]). The flow's home is told of both, and decides.
+    /// the records has to go ([`crate::message::FlowNote::holds_over`]). The flow's home is told of both, and decides.
     pub fn absorb(&mut self, now: Timestamp, from: InstanceId, batch: &FlowBatch, cx: Surroundings<'_>) -> Superseded {
         let mut superseded = Superseded::default();
         for flow in &batch.flows {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -1,7 +1,7 @@
 //! The node: takes inputs, asks the parts that decide, and gives outputs.
 //!
-//! This module has the inputs and the tick; [`fence`] what holds a node back, [`messages`] what it says to others,
-//! [`lifecycle`] how it stops, [`state`] what it shows to operators.
+//! This module has the inputs and the tick; `fence` what holds a node back, `messages` what it says to others,
+//! `lifecycle` how it stops, `state` what it shows to operators.
 
 mod fence;
 mod lifecycle;
