A request whose caller has gone is let go

Cause: found by reading: an idempotent request given up because its caller hung up got no reply from the core, and the engine lets a request go only at its reply. A process that callers hang up on would fill its memory. Change: it is refused like any other, with a reason of its own; the flag that kept the reply back is gone. Before: 0 replies for 100 callers gone (by reading; the test came with the change). After: 100 of 100, none queued or under way. Conclusion: one way out for every request.

--- a/crates/adapters/src/requests.rs
+++ b/crates/adapters/src/requests.rs
@@ -160,7 +160,7 @@
         Reason::TicketExpired => StatusCode::CONFLICT,
         Reason::UnknownService => StatusCode::MISDIRECTED_REQUEST,
         Reason::AnswerGone => StatusCode::GONE,
-        Reason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+        Reason::DeadlineExceeded | Reason::CallerGone => StatusCode::GATEWAY_TIMEOUT,
         Reason::ConnectionBroken | Reason::AnswerIncomplete | Reason::IssuerGone => StatusCode::BAD_GATEWAY,
         Reason::Overloaded
         | Reason::NoTarget
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -343,6 +343,8 @@
     NoTarget,
     /// The deadline is over.
     DeadlineExceeded,
+    /// The caller has gone and does not want the answer.
+    CallerGone,
     /// The connection to a target or instance broke.
     ConnectionBroken,
     /// The target's answer was cut short.
--- a/crates/core/src/requests/mod.rs
+++ b/crates/core/src/requests/mod.rs
@@ -155,7 +155,6 @@
     worst: Verdict,
     /// Whether a try is under way that a target may be running.
     exposed: bool,
-    abandoned: bool,
 }
 
 /// All requests that this instance has a part in.
@@ -300,7 +299,6 @@
             attempt: 0,
             worst: Verdict::NotRun,
             exposed: false,
-            abandoned: false,
         };
         self.deadlines.insert((entry.deadline, request));
         self.entries.insert(request, entry);
@@ -552,14 +550,16 @@
 
     /// Notes that a caller has gone. An idempotent request is given up; one with a ticket goes on, since the caller
     /// may come back for its answer.
+    ///
+    /// A request given up still gets its reply, although nobody waits for it: whoever holds the request lets it go then,
+    /// and would keep it for ever otherwise.
     pub fn caller_gone(&mut self, cx: &mut RequestCx<'_>, request: RequestId) {
-        let Some(entry) = self.entries.get_mut(&request) else { return };
-        entry.abandoned = true;
-        if entry.idempotent {
-            self.give_up(cx, request);
-            self.remove(request);
-            self.start_waiting(cx);
+        if !self.entries.get(&request).is_some_and(|entry| entry.idempotent) {
+            return;
         }
+        let verdict = self.give_up(cx, request);
+        self.refuse(cx, request, verdict, Reason::CallerGone);
+        self.start_waiting(cx);
     }
 
     /// Ends requests whose deadline is over.
--- a/crates/core/src/requests/outcome.rs
+++ b/crates/core/src/requests/outcome.rs
@@ -95,9 +95,6 @@
         entry: &Entry,
         refusal: Refusal,
     ) {
-        if entry.abandoned && entry.idempotent {
-            return;
-        }
         self.reply_refusal(cx, request, entry.part, entry.service, refusal);
     }
 
--- a/crates/core/tests/requests.rs
+++ b/crates/core/tests/requests.rs
@@ -2,16 +2,24 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use support::OrderEnd;
 use support::World;
 
+use hawthornshift_core::Input;
+use hawthornshift_core::Node;
+use hawthornshift_core::Output;
+use hawthornshift_core::Tuning;
 use hawthornshift_core::invariants::Ledger;
+use hawthornshift_core::membership::Identity;
+use hawthornshift_core::node::TICK;
 use hawthornshift_core::tickets::LastWord;
 use hawthornshift_core::tickets::Presented;
 use hawthornshift_core::tickets::Ticket;
 use hawthornshift_core::tickets::Tickets;
+use hawthornshift_model::CheckedSet;
 
 fn tickets() -> Tickets {
     Tickets::new(3, 77, [9; 32], Duration::from_mins(10), 1_000)
@@ -150,3 +158,38 @@
         world.check_orders();
     }
 }
+
+/// A caller hangs up while its read waits for a slot. Whoever holds the request has to be told that it has ended, or it
+/// is kept for ever: a process that callers hang up on would fill its memory.
+#[test]
+fn a_request_whose_caller_has_gone_is_let_go() {
+    let identity = Identity {
+        id: 0,
+        incarnation: 1,
+        failure_domain: "norte".to_owned(),
+        control: support::sets::instance_address(0, 1),
+        forward: support::sets::instance_address(0, 2),
+    };
+    let set = support::set();
+    let service = set.services[0].id();
+    let mut now = Duration::from_secs(1);
+    let mut node = Node::new(now, identity, Tuning::default(), 1, [1; 32]);
+    let mut out = Vec::new();
+    node.handle(now, Input::SetRead(Arc::new(CheckedSet::new(set).unwrap())), &mut out);
+    while !node.is_ready() {
+        now += TICK;
+        node.handle(now, Input::Tick, &mut out);
+    }
+    for request in 0..100 {
+        let arrived = Input::RequestArrived { request, service, idempotent: true, ticket: None, timeout: None };
+        node.handle(now, arrived, &mut out);
+    }
+    out.clear();
+    for request in 0..100 {
+        node.handle(now, Input::CallerGone { request }, &mut out);
+    }
+    let replies = out.iter().filter(|output| matches!(output, Output::Reply { .. })).count();
+    assert_eq!(replies, 100);
+    assert_eq!(node.dump(now).requests_under_way, 0);
+    assert_eq!(node.dump(now).queued, 0);
+}
