A home that is asked by the holder itself does not forget it

Found in the trace: the holder woke from a pause and asked the flow's home whether anyone else had taken it; the home knew only the asker, took the question for a bounce, forgot the holder and started the flow anew with the next packet. Change: such a question is returned and the word kept. Before: the new test fails (one flow of 40 moved). After: it passes, with all other tests of flows.

--- a/crates/core/src/flows/mod.rs
+++ b/crates/core/src/flows/mod.rs
@@ -282,6 +282,10 @@
 
     /// Sends a packet on to the instance that holds its flow, or forgets a holder that is gone.
     fn send_to_holder(&mut self, packet: Packet, holder: InstanceId, cx: Surroundings<'_>) -> Option<PacketFate> {
+        if let (Purpose::Ask { position }, true) = (packet.purpose, packet.from == Some(holder)) {
+            // The holder has woken from a pause and asks whether anyone else has taken the flow: nobody has.
+            return self.forward(packet, holder, Purpose::Return { position }, cx);
+        }
         let usable = may_get_packets(packet.now, holder, cx) && packet.hops_left > 0 && packet.from != Some(holder);
         if !usable {
             self.table.remove(packet.now, &packet.key);
--- a/crates/core/tests/flows.rs
+++ b/crates/core/tests/flows.rs
@@ -155,6 +155,28 @@
     }
 }
 
+/// Flows that belong to a failure domain are held elsewhere since it was out. Their holder is frozen for a moment, and
+/// on waking asks their home whether anyone else has taken them. The home knows nobody but the asker itself; were it to
+/// forget that, the next packet would start the flow anew at another target.
+#[test]
+fn a_home_that_is_asked_by_the_holder_does_not_forget_it() {
+    for seed in 0..5 {
+        for id in [0, 1, 2, 4, 5, 6] {
+            let mut world = world_with_flows(seed);
+            world.set_domain("oeste", DomainState::Out);
+            world.run(Duration::from_secs(5));
+            world.set_domain("oeste", DomainState::InService);
+            // Longer than earlier views are remembered.
+            world.run(Duration::from_secs(45));
+            world.pause(id, Duration::from_millis(1_700));
+            world.run(Duration::from_millis(1_600));
+            world.end_excuses();
+            world.run(Duration::from_secs(5));
+            assert_unbroken(&world);
+        }
+    }
+}
+
 /// Two records of one flow: one was abandoned while its instance was cut off, the other is in use. The older one must
 /// not win, or the caller would be moved back to where it has not been for long.
 #[test]
