Targets are looked at anew only when a batch hands flows over

Cause: found by reading: every batch, also one that only says where flows stay, looked at each target of the table anew, which walks the services of the set. Word of a flow that stays elsewhere brings no target into the table. Change: the look is taken for handed-over batches alone; behaviour is the same. Before and after: all tests of the core pass (30 run); the saving is not measured.

--- a/crates/core/src/flows/mod.rs
+++ b/crates/core/src/flows/mod.rs
@@ -494,8 +494,11 @@
                 self.table.insert_elsewhere(now, key, from, flow);
             }
         }
-        // A target taken over may be one that this instance's set has already closed.
-        self.table.revalidate(cx.view.catalog());
+        if batch.handover {
+            // A target taken over may be one that this instance's set has already closed; word of a flow that stays
+            // elsewhere brings no target.
+            self.table.revalidate(cx.view.catalog());
+        }
         superseded
     }
 
