News told by differences and in heartbeats; not ready while no target is in reach

Configurations of 240 routes came in quick succession; each was announced and then pulled whole by 78 instances at once over the watcher's link of 10 Mbit/s: 867 pulls within 9 s, 166 ms in the middle, 419 ms at the most, and datagrams behind them are lost. An instance that the watcher takes for dead is told nothing, and by its rank begins to watch only after up to 12 s. Ruled out: a gap in what was pulled (facts carry the store's revisions; a target missed by the watcher would have hit all instances, here it was one), a stuck pull (bounded to 1 s), a handed-over flow (judged by the SYN). Change: instances tell each other what has changed in a configuration, exact to the configuration it applies to; heartbeats carry the sender's revision, and whoever is behind for 200 ms asks that peer; open work is handed over to starters only.

Change: readiness is 503 while nothing usable is in reach.

--- a/crates/core/src/direct/directory.rs
+++ b/crates/core/src/direct/directory.rs
@@ -15,8 +15,11 @@
 use crate::direct::facts::Fact;
 use crate::direct::facts::Route;
 use crate::direct::facts::Routing;
+use crate::direct::facts::RoutingChange;
 use crate::direct::facts::TargetFacts;
 use crate::direct::facts::Versioned;
+use crate::direct::routes::Learned;
+use crate::direct::routes::Routes;
 use crate::direct::segment::Cookie;
 use crate::maps::Map;
 use hawthornshift_model::Revision;
@@ -95,8 +98,9 @@
     /// Revision below which entries that went missing may have been forgotten here.
     forgotten: Revision,
     whole: bool,
-    routing: Option<(Revision, Routing)>,
-    routes: Map<SocketAddrV4, usize>,
+    routes: Option<Routes>,
+    /// Whether a difference could not be applied, so that everything has to be asked for anew.
+    gap: bool,
     targets: BTreeMap<TargetId, Target>,
     by_cookie: Map<Cookie, TargetId>,
     by_service: BTreeMap<String, Vec<TargetId>>,
@@ -116,25 +120,31 @@
     /// the absence of a route or a target.
     #[must_use]
     pub fn is_whole(&self) -> bool {
-        self.whole && self.routing.is_some()
+        self.whole && self.routes.is_some()
+    }
+
+    /// Returns the revision from which on to ask for news; zero when everything is wanted.
+    #[must_use]
+    pub fn ask_since(&self) -> Revision {
+        if self.is_whole() && !self.gap { self.revision } else { 0 }
     }
 
     /// Returns the version of the configuration in force; zero before the first.
     #[must_use]
     pub fn version(&self) -> u64 {
-        self.routing.as_ref().map_or(0, |(_, routing)| routing.version)
+        self.routing().map_or(0, |routing| routing.version)
     }
 
     /// Returns the configuration in force.
     #[must_use]
     pub fn routing(&self) -> Option<&Routing> {
-        self.routing.as_ref().map(|(_, routing)| routing)
+        self.routes.as_ref().map(Routes::routing)
     }
 
     /// Returns the route to an address and port.
     #[must_use]
     pub fn route(&self, address: SocketAddrV4) -> Option<&Route> {
-        self.routes.get(&address).and_then(|&index| self.routing()?.routes.get(index))
+        self.routes.as_ref().and_then(|routes| routes.route(address))
     }
 
     /// Returns a target, also one whose entry is gone.
@@ -157,10 +167,19 @@
     /// Returns the targets of a service that may get new flows, cold ones included.
     pub fn candidates(&self, now: Timestamp, service: &str) -> impl Iterator<Item = &Target> {
         let ids = self.by_service.get(service).into_iter().flatten();
-        ids.filter_map(|id| self.targets.get(id))
-            .filter(move |target| target.takes_flows(now) && !self.is_evacuated(&target.facts.failure_domain))
+        ids.filter_map(|id| self.targets.get(id)).filter(move |target| self.is_candidate(now, target))
+    }
+
+    /// Returns the targets of all services that may get new flows, cold ones included.
+    pub fn all_candidates(&self, now: Timestamp) -> impl Iterator<Item = &Target> {
+        self.targets.values().filter(move |target| self.is_candidate(now, target))
+    }
+
+    fn is_candidate(&self, now: Timestamp, target: &Target) -> bool {
+        target.takes_flows(now)
+            && !self.is_evacuated(&target.facts.failure_domain)
             // Of two ids with one cookie only the one that the cookie leads back to can be served.
-            .filter(|target| self.by_cookie.get(&target.cookie()) == Some(&target.id))
+            && self.by_cookie.get(&target.cookie()) == Some(&target.id)
     }
 
     /// Returns how long a target's service stays cold after a start.
@@ -197,7 +216,10 @@
         if delta.whole {
             changed |= self.drop_unnamed(now, delta.revision, &named);
         }
-        if delta.whole || (self.whole && delta.since <= self.revision) {
+        if delta.whole {
+            self.gap = false;
+        }
+        if delta.whole || (self.whole && !self.gap && delta.since <= self.revision) {
             self.whole = true;
             self.revision = self.revision.max(delta.revision);
         }
@@ -216,6 +238,7 @@
             Fact::Left(id, facts) => self.learn_left(now, revision, *id, facts),
             Fact::Evacuated(domain, evacuated) => self.learn_domain(now, revision, domain, *evacuated),
             Fact::Routing(routing) => self.learn_routing(revision, routing),
+            Fact::RoutingChange(change) => self.learn_change(revision, change),
         }
     }
 
@@ -282,13 +305,19 @@
     }
 
     fn learn_routing(&mut self, revision: Revision, routing: &Routing) -> bool {
-        if self.routing.as_ref().is_some_and(|(known, _)| *known >= revision) {
-            return false;
+        if let Some(routes) = &mut self.routes {
+            return routes.replace(revision, routing) == Learned::New;
         }
-        self.routing = Some((revision, routing.clone()));
+        self.routes = Some(Routes::new(revision, routing.clone()));
         true
     }
 
+    fn learn_change(&mut self, revision: Revision, change: &RoutingChange) -> bool {
+        let learned = self.routes.as_mut().map_or(Learned::Gap, |routes| routes.change(revision, change));
+        self.gap |= learned == Learned::Gap;
+        learned == Learned::New
+    }
+
     /// Counts as missing what a whole picture does not name.
     fn drop_unnamed(&mut self, now: Timestamp, revision: Revision, named: &BTreeSet<Key>) -> bool {
         let gone: Vec<TargetId> =
@@ -316,8 +345,6 @@
     }
 
     fn index(&mut self) {
-        let routes = self.routing().map(|routing| routing.routes.as_slice()).unwrap_or_default();
-        self.routes = routes.iter().enumerate().map(|(index, route)| (route.address, index)).collect();
         self.by_cookie.clear();
         self.by_service.clear();
         for target in self.targets.values() {
@@ -337,13 +364,23 @@
             revision: *revision,
             fact: Fact::Evacuated(domain.clone(), *evacuated),
         });
-        let routing = self
-            .routing
-            .iter()
-            .map(|(revision, routing)| Versioned { revision: *revision, fact: Fact::Routing(routing.clone()) });
+        let routing = self.routes.iter().filter_map(|routes| routes.told_since(since));
         let facts = targets.chain(domains).chain(routing).filter(|versioned| versioned.revision > since);
         Delta { since, revision: self.revision, whole: whole && self.whole, facts: facts.collect() }
     }
+
+    /// Returns news of the store as it is told to peers, after it was applied here: of a configuration only what has
+    /// changed.
+    #[must_use]
+    pub fn retold(&self, delta: &Delta) -> Delta {
+        let retell = |versioned: &Versioned| match (&versioned.fact, &self.routes) {
+            // Of several that came at once only the last is in force.
+            (Fact::Routing(_), Some(routes)) if versioned.revision < routes.revision() => None,
+            (Fact::Routing(_), Some(routes)) => routes.told_since(delta.since),
+            _ => Some(versioned.clone()),
+        };
+        Delta { facts: delta.facts.iter().filter_map(retell).collect(), ..*delta }
+    }
 }
 
 /// Returns a target as it is told to a peer: its cold time counts from now.
@@ -366,6 +403,6 @@
     match fact {
         Fact::Target(id, _) | Fact::Left(id, _) => Some(Key::Target(*id)),
         Fact::Evacuated(domain, _) => Some(Key::Domain(domain.clone())),
-        Fact::Routing(_) => None,
+        Fact::Routing(_) | Fact::RoutingChange(_) => None,
     }
 }
--- a/crates/core/src/direct/facts.rs
+++ b/crates/core/src/direct/facts.rs
@@ -94,6 +94,24 @@
     pub idle_timeout: Duration,
 }
 
+/// What has changed in the configuration. Only instances tell this, each other; the store has it whole.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RoutingChange {
+    /// Revision of the configuration that this makes into the new one.
+    pub since: Revision,
+    /// Number of the new configuration.
+    pub version: u64,
+    /// Routes that were added or took another form.
+    pub changed: Vec<Route>,
+    /// Routes that are gone.
+    pub removed: Vec<SocketAddrV4>,
+    /// All services.
+    pub services: Vec<ServiceFacts>,
+    /// Time after which an idle flow may be forgotten.
+    pub idle_timeout: Duration,
+}
+
 /// What a target's entry says.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -127,6 +145,8 @@
     Evacuated(String, bool),
     /// The configuration.
     Routing(Routing),
+    /// The configuration, told by its difference to an earlier one.
+    RoutingChange(RoutingChange),
 }
 
 /// A fact with the store's revision of its key.
--- a/crates/core/src/direct/fleet.rs
+++ b/crates/core/src/direct/fleet.rs
@@ -15,6 +15,7 @@
 use crate::direct::message::Heartbeat;
 use crate::direct::message::Message;
 use crate::direct::notes::Notes;
+use crate::direct::readiness::OUT_OF_REACH;
 use crate::direct::watch::Duty;
 use crate::direct::watch::WatchDuty;
 use crate::event::InstanceList;
@@ -48,6 +49,9 @@
 const SUSPICION: Duration = Duration::from_secs(1);
 /// Time for which a view is trusted without word from any peer.
 const LEASE: Duration = Duration::from_millis(900);
+/// Time for which an instance waits for an announcement when a heartbeat shows that it is behind. The watcher tells all
+/// others at once, so in nearly all cases it arrives within milliseconds.
+const BEHIND_PATIENCE: Duration = Duration::from_millis(200);
 /// Key by which instances are ranked for the watch duty.
 const WATCH_KEY: u64 = 0x77_61_74_63_68;
 
@@ -78,6 +82,21 @@
     rng: SmallRng,
     next_seed_ping: Timestamp,
     contact: bool,
+    started: Timestamp,
+    /// When an instance of another failure domain was last heard; `None` before the first.
+    heard_elsewhere: Option<Timestamp>,
+    /// The latest revision that a heartbeat told of and that is not known here, if there is one.
+    behind: Option<Behind>,
+}
+
+/// News that another instance has and this one lacks.
+#[derive(Clone, Copy, Debug)]
+struct Behind {
+    revision: Revision,
+    /// Who has it.
+    from: SocketAddr,
+    /// When it is asked for.
+    ask_at: Timestamp,
 }
 
 impl Fleet {
@@ -89,7 +108,16 @@
         let rng = SmallRng::seed_from_u64(u64::from(identity.id) ^ identity.incarnation);
         let mut membership = Membership::new(identity, tuning);
         membership.read_list(now, &list(seeds));
-        Self { membership, duty: WatchDuty::new(now), rng, next_seed_ping: now, contact: false }
+        Self {
+            membership,
+            duty: WatchDuty::new(now),
+            rng,
+            next_seed_ping: now,
+            contact: false,
+            started: now,
+            heard_elsewhere: None,
+            behind: None,
+        }
     }
 
     /// Returns the watch duty.
@@ -114,6 +142,21 @@
         self.membership.serving().map(|(seat, _)| seat.id).collect()
     }
 
+    /// Tells whether other failure domains can be reached, as far as is known here: their instances have been heard of
+    /// late, or there are none.
+    ///
+    /// One that has just started waits for a first word. If it counted on what it has not heard of, it alone would draw
+    /// all callers back to a failure domain that can serve nobody.
+    #[must_use]
+    pub fn reaches_other_domains(&self, now: Timestamp) -> bool {
+        if now.saturating_sub(self.heard_elsewhere.unwrap_or(self.started)) < OUT_OF_REACH {
+            return self.heard_elsewhere.is_some();
+        }
+        let domain = &self.membership.me().failure_domain;
+        // The seeds' domains are not known before they answer.
+        !self.membership.members().any(|member| member.failure_domain != *domain && !member.failure_domain.is_empty())
+    }
+
     /// Tells whether the whole fleet tells each other of open work.
     #[must_use]
     pub fn is_one_group(&self) -> bool {
@@ -148,7 +191,7 @@
     pub fn depart(&mut self) -> Vec<FleetEffect> {
         self.membership.depart();
         let serving = self.count();
-        let last = Heartbeat { sequence: 0, serving, members: Vec::new() };
+        let last = Heartbeat { sequence: 0, serving, revision: 0, members: Vec::new() };
         self.to_everybody(Message::Ack(last))
     }
 
@@ -162,6 +205,9 @@
             return Vec::new();
         }
         self.contact = true;
+        if sender.failure_domain != self.membership.me().failure_domain {
+            self.heard_elsewhere = Some(now);
+        }
         self.membership.heard_from(now, &sender);
         let mut effects = self.message(now, &sender, message, revision);
         effects.extend(self.changes());
@@ -178,18 +224,18 @@
         let from = sender.id;
         match message {
             Message::Ping(heartbeat) => {
-                let differs = self.absorb(now, &heartbeat);
-                let answer = self.heartbeat(from, heartbeat.sequence, differs);
+                let differs = self.absorb(now, sender, &heartbeat, revision);
+                let answer = self.heartbeat(from, heartbeat.sequence, revision, differs);
                 self.to(from, Message::Ack(answer)).into_iter().collect()
             }
             Message::Ack(heartbeat) => {
-                self.absorb(now, &heartbeat);
+                self.absorb(now, sender, &heartbeat, revision);
                 let signal = self.membership.acknowledged(now, heartbeat.sequence, from);
-                signal.into_iter().filter_map(|signal| self.signal(signal)).collect()
+                signal.into_iter().filter_map(|signal| self.signal(signal, revision)).collect()
             }
             Message::IndirectPing { sequence, subject } => {
                 let signal = self.membership.ping_for(now, subject, from, sequence);
-                signal.into_iter().filter_map(|signal| self.signal(signal)).collect()
+                signal.into_iter().filter_map(|signal| self.signal(signal, revision)).collect()
             }
             Message::IndirectAck { sequence, subject } => {
                 self.membership.acknowledged_indirectly(now, sequence, subject);
@@ -219,10 +265,14 @@
         duty.into_iter().chain([news]).collect()
     }
 
-    fn absorb(&mut self, now: Timestamp, heartbeat: &Heartbeat) -> bool {
+    fn absorb(&mut self, now: Timestamp, sender: &MemberUpdate, heartbeat: &Heartbeat, revision: Revision) -> bool {
         for update in &heartbeat.members {
             self.membership.absorb(now, update);
         }
+        if heartbeat.revision > self.behind.map_or(revision, |behind| behind.revision.max(revision)) {
+            let ask_at = self.behind.map_or(now + BEHIND_PATIENCE, |behind| behind.ask_at);
+            self.behind = Some(Behind { revision: heartbeat.revision, from: sender.control, ask_at });
+        }
         heartbeat.serving != self.count()
     }
 
@@ -230,10 +280,21 @@
         u32::try_from(self.membership.serving().count()).unwrap_or(u32::MAX)
     }
 
-    fn heartbeat(&mut self, to: InstanceId, sequence: Sequence, differs: bool) -> Heartbeat {
+    fn heartbeat(&mut self, to: InstanceId, sequence: Sequence, revision: Revision, differs: bool) -> Heartbeat {
         let serving = self.count();
         let members = self.membership.news(&mut self.rng, to, differs);
-        Heartbeat { sequence, serving, members }
+        Heartbeat { sequence, serving, revision, members }
+    }
+
+    /// Asks for news that a heartbeat told of and no announcement has brought.
+    ///
+    /// The watcher may take this instance for dead and tell it nothing, or its datagrams may be lost; without this,
+    /// targets that leave would get new flows for as long as that lasts.
+    fn catch_up(&mut self, now: Timestamp, revision: Revision) -> Option<FleetEffect> {
+        self.behind = self.behind.filter(|behind| behind.revision > revision);
+        let behind = self.behind.as_mut().filter(|behind| now >= behind.ask_at)?;
+        behind.ask_at = now + BEHIND_PATIENCE;
+        Some(FleetEffect::Pull(behind.from))
     }
 
     fn to(&self, to: InstanceId, message: Message) -> Option<FleetEffect> {
@@ -245,10 +306,10 @@
         FleetEffect::Send(addresses, Frame::Introduced { sender: self.membership.me().clone(), message })
     }
 
-    fn signal(&mut self, signal: Signal) -> Option<FleetEffect> {
+    fn signal(&mut self, signal: Signal, revision: Revision) -> Option<FleetEffect> {
         match signal {
             Signal::Ping { to, sequence } => {
-                let beat = self.heartbeat(to, sequence, false);
+                let beat = self.heartbeat(to, sequence, revision, false);
                 self.to(to, Message::Ping(beat))
             }
             Signal::IndirectPing { to, sequence, subject } => self.to(to, Message::IndirectPing { sequence, subject }),
@@ -272,10 +333,11 @@
         if !self.contact && now >= self.next_seed_ping {
             self.next_seed_ping = now + SEED_PERIOD;
             let signals = self.membership.refresh(now, &mut self.rng, MAX_SEEDS);
-            effects.extend(signals.into_iter().filter_map(|signal| self.signal(signal)));
+            effects.extend(signals.into_iter().filter_map(|signal| self.signal(signal, revision)));
         }
         let signals = self.membership.tick(now, &mut self.rng);
-        effects.extend(signals.into_iter().filter_map(|signal| self.signal(signal)));
+        effects.extend(signals.into_iter().filter_map(|signal| self.signal(signal, revision)));
+        effects.extend(self.catch_up(now, revision));
         effects.extend(self.duty.tick(now, self.rank()).map(FleetEffect::Duty));
         if let Some(announcement) = self.duty.announcement(now, revision) {
             effects.extend(self.to_everybody(Message::Announcement(announcement)));
--- a/crates/core/src/direct/message.rs
+++ b/crates/core/src/direct/message.rs
@@ -65,6 +65,8 @@
     pub sequence: Sequence,
     /// How many members the sender believes to serve: a peer that counts others tells more.
     pub serving: u32,
+    /// The revision that the sender knows everything of the store up to; zero when it knows nothing or is about to end.
+    pub revision: Revision,
     /// News of members.
     pub members: Vec<MemberUpdate>,
 }
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -4,11 +4,13 @@
 //! the flow. So nothing has to be agreed on about open flows, and what is left to decide is where a SYN goes.
 //!
 //! - [`steering`] decides about each packet; [`segment`] is what it sees of one.
-//! - [`directory`] is what the store says, in [`facts`] that instances pass on to each other.
+//! - [`directory`] is what the store says, in [`facts`] that instances pass on to each other; [`routes`] is the
+//!   configuration in it.
 //! - [`placement`] picks a target, by [`work`] (what targets hold, told between instances in [`notes`]), [`outlier`]
 //!   (which seem not to answer), [`patience`] (how long a handshake may take) and [`moves`] (when that tells nothing).
 //! - [`waiting`] keeps flows for which no slot is free, [`window`] bounds what an instance sends while it is alone;
 //!   [`flows`] are the records of those that pass through here.
+//! - [`readiness`] tells whether callers should be handed to this instance at all.
 //! - [`fleet`] is the other instances, [`watch`] who of them watches the store, [`message`] what they say.
 //! - [`standstill`] notices that the process was paused. [`stopping`] tells when a planned stop is over.
 //! - [`decision`] is what logs and metrics show of all that.
@@ -24,6 +26,8 @@
 pub mod outlier;
 pub mod patience;
 pub mod placement;
+pub mod readiness;
+pub mod routes;
 pub mod segment;
 pub mod standstill;
 pub mod steering;
--- a/crates/core/src/direct/outlier.rs
+++ b/crates/core/src/direct/outlier.rs
@@ -86,6 +86,13 @@
         back
     }
 
+    /// Tells whether a target has finished a handshake here within a span.
+    #[must_use]
+    pub fn answered_within(&self, now: Timestamp, target: TargetId, span: Duration) -> bool {
+        let last = self.records.get(&target).and_then(|record| record.last_answer);
+        last.is_some_and(|at| now.saturating_sub(at) < span)
+    }
+
     /// Notes a sign of life of a target that a peer tells of.
     pub fn sign_of_life(&mut self, now: Timestamp, target: TargetId) {
         self.records.entry(target).or_default().last_sign = now;
--- /dev/null
+++ b/crates/core/src/direct/readiness.rs
@@ -0,0 +1,76 @@
+//! Whether the fabric should hand callers' packets to this instance.
+//!
+//! An instance in a failure domain that is cut off from the others, and whose own targets are taken out or dead, cannot
+//! serve anybody, while instances elsewhere can. As long as it says that it is ready its callers wait for answers that
+//! cannot come; once it says that it is not, the fabric hands them to the nearest failure domain.
+//!
+//! Whether other failure domains can be reached is told by their targets as long as flows go there, and by their instances
+//! besides: an instance that gets no flows has no handshakes to judge by, and would never find out that the cut is over.
+
+use std::time::Duration;
+
+use strum::Display;
+
+use crate::Timestamp;
+use crate::direct::directory::Directory;
+use crate::direct::outlier::Outliers;
+use crate::direct::outlier::Trust;
+
+/// Silence of all instances of other failure domains after which those domains count as out of reach.
+///
+/// An instance pings four members a second and is pinged as often, most of them elsewhere. By chance alone all may be near
+/// ones in this time, once in some dozen; the handshakes of targets elsewhere tell then.
+pub const OUT_OF_REACH: Duration = Duration::from_millis(600);
+
+/// Why an instance asks for callers, or for none.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Readiness {
+    /// Callers can be served.
+    Ready,
+    /// The configuration and the targets are not known yet.
+    NotWhole,
+    /// No target that may be used can be reached from here.
+    NoTargetInReach,
+}
+
+/// What readiness rests on.
+#[derive(Clone, Copy, Debug)]
+pub struct Reach<'a> {
+    /// The targets.
+    pub directory: &'a Directory,
+    /// Which of them seem not to answer.
+    pub outliers: &'a Outliers,
+    /// The failure domain of this instance.
+    pub domain: &'a str,
+    /// Handshake patience, for trials of avoided targets.
+    pub patience: Duration,
+}
+
+impl Reach<'_> {
+    /// Tells whether callers should be sent here, by whether other failure domains can be reached.
+    ///
+    /// Where no instance at all could serve, since nothing is listed or all is taken out, this one stays ready: callers
+    /// then get a reset at once, which is better than silence.
+    #[must_use]
+    pub fn readiness(&self, now: Timestamp, others_in_reach: bool) -> Readiness {
+        if !self.directory.is_whole() {
+            return Readiness::NotWhole;
+        }
+        if others_in_reach {
+            return Readiness::Ready;
+        }
+        let mut any_elsewhere = false;
+        for target in self.directory.all_candidates(now) {
+            if target.facts.failure_domain != self.domain {
+                any_elsewhere = true;
+                if self.outliers.answered_within(now, target.id, OUT_OF_REACH) {
+                    return Readiness::Ready;
+                }
+            } else if self.outliers.trust(now, target.id, self.patience, || true) != Trust::Silent {
+                return Readiness::Ready;
+            }
+        }
+        if any_elsewhere { Readiness::NoTargetInReach } else { Readiness::Ready }
+    }
+}
--- a/crates/core/src/direct/steering/mod.rs
+++ b/crates/core/src/direct/steering/mod.rs
@@ -27,6 +27,8 @@
 use crate::direct::patience::Patience;
 use crate::direct::placement::ColdBudget;
 use crate::direct::placement::Limit;
+use crate::direct::readiness::Reach;
+use crate::direct::readiness::Readiness;
 use crate::direct::segment::Cookie;
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
@@ -264,6 +266,18 @@
         }
     }
 
+    /// Tells whether callers should be sent here, by whether other failure domains can be reached.
+    #[must_use]
+    pub fn readiness(&self, now: Timestamp, others_in_reach: bool) -> Readiness {
+        let reach = Reach {
+            directory: &self.directory,
+            outliers: &self.outliers,
+            domain: &self.config.domain,
+            patience: self.patience.limit(),
+        };
+        reach.readiness(now, others_in_reach)
+    }
+
     /// Tells whether new flows may be placed by what is known here.
     fn may_place(&self, now: Timestamp) -> bool {
         self.directory.is_whole() && now >= self.unsure_until
@@ -285,14 +299,15 @@
         }
     }
 
-    /// Returns everything that an instance which has just started needs, from a revision on.
+    /// Returns what an instance needs that knows everything up to a revision: open work too if it has just started. One
+    /// that only lacks some news hears of work by the notes.
     #[must_use]
     pub fn handover(&self, now: Timestamp, since: Revision) -> Handover {
-        Handover {
-            delta: self.directory.delta_since(now, since),
-            work: self.work.open(now).collect(),
-            avoid: self.outliers.avoided(now).collect(),
+        let delta = self.directory.delta_since(now, since);
+        if since > 0 {
+            return Handover { delta, ..Handover::default() };
         }
+        Handover { delta, work: self.work.open(now).collect(), avoid: self.outliers.avoided(now).collect() }
     }
 
     /// Takes over what a peer has handed over; tells whether the store's part brought anything new.
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -36,6 +36,7 @@
 use hawthornshift_core::direct::fleet::instance_id;
 use hawthornshift_core::direct::message::Frame;
 use hawthornshift_core::direct::message::Handover;
+use hawthornshift_core::direct::readiness::Readiness;
 use hawthornshift_core::direct::segment::Cookie;
 use hawthornshift_core::direct::segment::FlowId;
 use hawthornshift_core::direct::segment::Segment;
@@ -58,6 +59,8 @@
 pub const OBJECTIVE: Duration = Duration::from_millis(150);
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 const TICK: Duration = Duration::from_millis(10);
+/// Time between two questions of the fabric whether an instance is ready; two misses take it out of rotation.
+const PROBE: Duration = Duration::from_millis(500);
 
 pub fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -166,6 +169,7 @@
     Pulled(usize, u64, Box<Handover>),
     Learned(usize, u64),
     Start(usize),
+    Probe,
 }
 
 /// The whole world.
@@ -189,6 +193,9 @@
     pub again: u64,
     /// Failure domain that is cut off from the others, callers excepted.
     pub cut: Option<usize>,
+    /// Probes of its readiness that each instance has missed in a row; `None` while the fabric asks nobody and callers
+    /// reach all instances that are up.
+    probes_missed: Option<Vec<u32>>,
     /// All packets sent, by the numbers that stand for their bytes.
     segments: Vec<Segment>,
     current: Box<[u8]>,
@@ -224,6 +231,7 @@
             seeds: (0..3.min(instances)).map(instance_address).collect(),
             again: 0,
             cut: None,
+            probes_missed: None,
             segments: Vec::new(),
             current: Box::new([]),
             trace: BTreeMap::new(),
@@ -276,6 +284,39 @@
         }
     }
 
+    /// Makes the fabric hand each caller to an instance of its own failure domain that says it is ready, or, while none
+    /// does, to one elsewhere.
+    pub fn route_by_readiness(&mut self) {
+        self.probes_missed = Some(vec![0; self.instances.len()]);
+        self.after(PROBE, Event::Probe);
+    }
+
+    fn probe(&mut self) {
+        let now = self.now;
+        let ready = |instance: &Option<Instance>| {
+            instance.as_ref().is_some_and(|instance| {
+                let others = instance.fleet.reaches_other_domains(now);
+                instance.steering.readiness(now, others) == Readiness::Ready
+            })
+        };
+        let answers: Vec<bool> = self.instances.iter().map(ready).collect();
+        let Some(missed) = &mut self.probes_missed else { return };
+        for (missed, ready) in missed.iter_mut().zip(answers) {
+            *missed = if ready { 0 } else { *missed + 1 };
+        }
+        self.after(PROBE, Event::Probe);
+    }
+
+    /// Returns the instances among which the fabric picks for a request.
+    fn reachable_instances(&self, request: usize) -> Vec<usize> {
+        let up = (0..self.instances.len()).filter(|index| self.instances[*index].is_some());
+        let Some(missed) = &self.probes_missed else { return up.collect() };
+        let in_rotation: Vec<usize> = up.filter(|index| missed[*index] < 2).collect();
+        let near: Vec<usize> =
+            in_rotation.iter().copied().filter(|index| index % DOMAINS == request % DOMAINS).collect();
+        if near.is_empty() { in_rotation } else { near }
+    }
+
     fn reaches(&self, from: usize, to: usize) -> bool {
         self.cut.is_none_or(|cut| (from % DOMAINS == cut) == (to % DOMAINS == cut))
     }
@@ -409,6 +450,7 @@
                 self.with(index, |instance, now, effects| instance.steering.adopt(now, &handover, effects));
             }
             Event::Ask => self.ask(),
+            Event::Probe => self.probe(),
             Event::Syn(request, attempt, copies) => self.syn(request, attempt, copies),
             Event::AttemptEnds(request, attempt) => self.attempt_ends(request, attempt),
             Event::AtInstance(index, segment) => self.at_instance(index, segment),
@@ -528,7 +570,7 @@
         let flow = self.requests[request].flow;
         let sequence = 7;
         let segment = Segment { flow, kind, sequence, acknowledged, payload, cookie };
-        let up: Vec<usize> = (0..self.instances.len()).filter(|index| self.instances[*index].is_some()).collect();
+        let up = self.reachable_instances(request);
         if let Some(pick) = up.get(usize::try_from(flow.hash64() % up.len().max(1) as u64).unwrap()) {
             self.after(TO_CALLER, Event::AtInstance(*pick, segment));
         }
--- a/crates/core/tests/direct/load.rs
+++ b/crates/core/tests/direct/load.rs
@@ -3,8 +3,12 @@
 use std::time::Duration;
 
 use crate::fleet::Sim;
+use crate::fleet::domain;
 use crate::fleet::ms;
 use crate::fleet::target_id;
+use hawthornshift_core::direct::facts::Delta;
+use hawthornshift_core::direct::facts::Fact;
+use hawthornshift_core::direct::facts::Versioned;
 
 /// Half of what 14 targets with 2 slots can do.
 const USUAL: f64 = 425.0;
@@ -156,3 +160,32 @@
     assert!(in_time > 0.9, "{in_time}");
     assert!(at_all > 0.97, "{at_all}");
 }
+
+/// Operators take a failure domain out, and then it is cut off from the others. Its instances may not use the targets
+/// inside and cannot reach those outside, but callers nearby still reach them. Unless they ask for no more callers, each of
+/// these waits until it gives up; elsewhere there are instances and targets that would serve it.
+#[test]
+fn callers_of_a_domain_that_can_serve_nobody_are_served_elsewhere() {
+    let mut sim = Sim::new(9, 9, 14, 200.0);
+    sim.route_by_readiness();
+    sim.run_until(secs(3));
+    let taken_out = Versioned { revision: 20, fact: Fact::Evacuated(domain(1), true) };
+    sim.publish(&Delta { since: 11, revision: 20, whole: false, facts: vec![taken_out] });
+    sim.run_until(secs(4));
+    sim.cut = Some(1);
+    // One that starts meanwhile knows nothing of the cut.
+    sim.kill(5);
+    sim.start_at(ms(6_900), 5);
+    sim.run_until(secs(10));
+    let (in_time, at_all) = sim.served(ms(6_200), secs(9));
+    assert!(in_time > 0.99, "{in_time}");
+    assert!(at_all > 0.999, "{at_all}");
+    sim.cut = None;
+    let brought_back = Versioned { revision: 30, fact: Fact::Evacuated(domain(1), false) };
+    sim.publish(&Delta { since: 20, revision: 30, whole: false, facts: vec![brought_back] });
+    sim.run_until(secs(16));
+    sim.check();
+    let (in_time, at_all) = sim.served(secs(11), secs(15));
+    assert!(in_time > 0.99, "{in_time}");
+    assert!(at_all > 0.999, "{at_all}");
+}
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -4,5 +4,6 @@
 mod directory;
 mod fleet;
 mod load;
+mod routes;
 mod rules;
 mod watching;
--- a/crates/core/tests/direct/watching.rs
+++ b/crates/core/tests/direct/watching.rs
@@ -1,12 +1,18 @@
 //! Who watches the store, when instances and the store fail.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::fleet::ms;
 use hawthornshift_core::Timestamp;
+use hawthornshift_core::direct::fleet::Fleet;
+use hawthornshift_core::direct::fleet::FleetEffect;
+use hawthornshift_core::direct::fleet::instance_id;
 use hawthornshift_core::direct::message::Announcement;
 use hawthornshift_core::direct::watch::Duty;
 use hawthornshift_core::direct::watch::WatchDuty;
+use hawthornshift_core::membership::Identity;
+use hawthornshift_model::Revision;
 
 const STEP: Duration = Duration::from_millis(10);
 
@@ -138,3 +144,67 @@
     assert_eq!(duty.tick(ms(500), 0), None);
     assert_eq!(duty.tick(ms(1_100), 0), Some(Duty::Begin));
 }
+
+/// One instance with its revision of the store, and what it asked others for.
+struct Peer {
+    fleet: Fleet,
+    revision: Revision,
+    pulled_from: Vec<SocketAddr>,
+}
+
+fn peer_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, u8::try_from(index + 1).unwrap()], 7_000))
+}
+
+fn peer(index: usize) -> Peer {
+    let control = peer_address(index);
+    let id = instance_id(control);
+    let identity = Identity { id, incarnation: 1, failure_domain: "a".to_owned(), control, forward: control };
+    let seeds = [peer_address(0), peer_address(1)];
+    Peer { fleet: Fleet::new(Timestamp::ZERO, identity, &seeds), revision: 5, pulled_from: Vec::new() }
+}
+
+/// Lets three instances talk until a time; the first watches the store, and nothing that it says reaches the last.
+fn talk(peers: &mut [Peer; 3], now: &mut Timestamp, end: Timestamp) {
+    while *now < end {
+        *now += STEP;
+        peers[0].fleet.duty_mut().answered(*now);
+        let mut under_way: Vec<(usize, FleetEffect)> = Vec::new();
+        for (index, peer) in peers.iter_mut().enumerate() {
+            let revision = peer.revision;
+            under_way.extend(peer.fleet.tick(*now, revision).into_iter().map(|effect| (index, effect)));
+        }
+        while let Some((from, effect)) = under_way.pop() {
+            match effect {
+                FleetEffect::Send(to, frame) => {
+                    for index in (0..3).filter(|index| to.contains(&peer_address(*index)) && *index != from) {
+                        if (from, index) == (0, 2) {
+                            continue;
+                        }
+                        let revision = peers[index].revision;
+                        let effects = peers[index].fleet.frame(*now, frame.clone(), revision);
+                        under_way.extend(effects.into_iter().map(|effect| (index, effect)));
+                    }
+                }
+                FleetEffect::Pull(address) => peers[from].pulled_from.push(address),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// The instance that watches the store takes another one for dead, since datagrams between them are lost, and tells it
+/// nothing. The store says that a target leaves. The one that is left out must learn of it from a third, or it would go
+/// on giving new flows to a target that is about to end: by its rank it may take over the watch only after many seconds.
+#[test]
+fn an_instance_that_the_watcher_does_not_reach_asks_another_one() {
+    let mut peers = [peer(0), peer(1), peer(2)];
+    let mut now = Timestamp::ZERO;
+    peers[0].fleet.duty_mut().begin(now);
+    talk(&mut peers, &mut now, Duration::from_secs(3));
+    assert_eq!(peers[2].pulled_from, []);
+    peers[0].revision = 7;
+    peers[1].revision = 7;
+    talk(&mut peers, &mut now, Duration::from_secs(4));
+    assert_eq!(peers[2].pulled_from.first(), Some(&peer_address(1)));
+}
--- a/crates/direct/src/command.rs
+++ b/crates/direct/src/command.rs
@@ -24,7 +24,12 @@
         reason: String,
     },
     /// An instance has handed over what it knows, or could not be asked.
-    Pulled(Option<Box<Handover>>),
+    Pulled {
+        /// What it knows.
+        handover: Option<Box<Handover>>,
+        /// How long the question took.
+        took: Duration,
+    },
     /// An instance asks for what is newer than a revision.
     Handover {
         /// What it knows.
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -47,6 +47,7 @@
 use hawthornshift_core::direct::message::Frame;
 use hawthornshift_core::direct::message::Handover;
 use hawthornshift_core::direct::message::Message;
+use hawthornshift_core::direct::readiness::Readiness;
 use hawthornshift_core::direct::standstill::Standstill;
 use hawthornshift_core::direct::steering::Effect;
 use hawthornshift_core::direct::steering::Steering;
@@ -331,14 +332,17 @@
         if std::mem::replace(&mut self.pulling, true) {
             return;
         }
-        let since = if self.steering.directory().is_whole() { self.steering.directory().revision() } else { 0 };
+        let since = self.steering.directory().ask_since();
         let (tx, log) = (self.tx.clone(), self.log.clone());
         tokio::spawn(async move {
+            let asked = Instant::now();
             let pulled = peers::pull(from, since, command::PULL_LIMIT).await;
-            let pulled =
-                pulled.map_err(|error| warn!(log, "pull failed"; "from" => from, "error" => error.to_string()));
+            let took = asked.elapsed();
+            let pulled = pulled.map_err(|error| {
+                warn!(log, "pull failed"; "from" => from, "took_ms" => millis(took), "error" => error.to_string());
+            });
             // The loop that would receive it has ended if this fails.
-            let _ = tx.send(Command::Pulled(pulled.ok().map(Box::new))).await;
+            let _ = tx.send(Command::Pulled { handover: pulled.ok().map(Box::new), took }).await;
         });
     }
 
@@ -347,7 +351,7 @@
         match command {
             Command::StoreSaid { delta, refused } => self.store_said(now, &delta, refused),
             Command::StoreFailed { reason } => self.store_failed(&reason),
-            Command::Pulled(handover) => self.pulled(now, handover.as_deref()),
+            Command::Pulled { handover, took } => self.pulled(now, handover.as_deref(), took),
             // Whoever asked may have gone meanwhile.
             Command::Handover { since, answer } => drop(answer.send(self.steering.handover(now, since))),
             Command::Dump(answer) => drop(answer.send(dump::render(now, &self.sources()))),
@@ -381,7 +385,8 @@
         if !delta.facts.is_empty() {
             let revision = self.steering.directory().revision();
             // A whole picture is large and comes after a gap: it is announced, and who lacks it pulls it.
-            let effects = if delta.whole { Vec::new() } else { self.fleet.push(now, revision, delta) };
+            let told = self.steering.directory().retold(delta);
+            let effects = if delta.whole { Vec::new() } else { self.fleet.push(now, revision, &told) };
             self.carry_out_fleet(effects);
         }
     }
@@ -393,7 +398,7 @@
         }
     }
 
-    fn pulled(&mut self, now: Timestamp, handover: Option<&Handover>) {
+    fn pulled(&mut self, now: Timestamp, handover: Option<&Handover>, took: Duration) {
         self.pulling = false;
         let Some(handover) = handover else {
             self.counts.pull_failures += 1;
@@ -404,7 +409,7 @@
         let changed = self.steering.adopt(now, handover, &mut self.effects);
         self.carry_out();
         if changed {
-            self.learned(&handover.delta, "handover");
+            self.learned(&handover.delta, "handover", took);
         }
     }
 
@@ -412,17 +417,34 @@
         let changed = self.steering.learn(now, delta, &mut self.effects);
         self.carry_out();
         if changed {
-            self.learned(delta, from);
+            self.learned(delta, from, Duration::ZERO);
         }
     }
 
-    fn learned(&mut self, delta: &Delta, from: &'static str) {
+    /// Logs news that took so long to be asked for.
+    fn learned(&mut self, delta: &Delta, from: &'static str, took: Duration) {
         let directory = self.steering.directory();
         info!(self.log, "news"; "from" => from, "facts" => delta.facts.len(), "whole" => delta.whole,
-            "revision" => directory.revision(), "version" => directory.version());
-        let whole = directory.is_whole();
-        if whole && self.stopping.is_none() && !self.ready.swap(true, Ordering::Relaxed) {
-            info!(self.log, "ready"; "after_ms" => millis(self.now()), "revision" => directory.revision());
+            "took_ms" => millis(took), "revision" => directory.revision(), "version" => directory.version());
+        self.look_at_readiness();
+    }
+
+    /// Tells the fabric whether callers can be served here.
+    fn look_at_readiness(&mut self) {
+        if self.stopping.is_some() {
+            return;
+        }
+        let now = self.now();
+        let readiness = self.steering.readiness(now, self.fleet.reaches_other_domains(now));
+        let ready = readiness == Readiness::Ready;
+        if self.ready.swap(ready, Ordering::Relaxed) == ready {
+            return;
+        }
+        let revision = self.steering.directory().revision();
+        if ready {
+            info!(self.log, "ready"; "after_ms" => millis(now), "revision" => revision);
+        } else {
+            warn!(self.log, "not ready"; "reason" => readiness.to_string(), "revision" => revision);
         }
     }
 
@@ -441,6 +463,7 @@
         self.next_fleet = now + FLEET_PERIOD;
         let effects = self.fleet.tick(now, self.steering.directory().revision());
         self.carry_out_fleet(effects);
+        self.look_at_readiness();
         if now >= self.next_settings {
             self.next_settings = now + SETTINGS_PERIOD;
             self.look_at_settings(false);
