Targets that answer with failures are set aside, from what callers acknowledge

Cause: a target that fails its requests does so at once, never looks busy, and so draws more flows the worse it is. Ruled out: health checks (priced, and they lie here); a reset or a time-out as the only sign (failures are whole answers). Change: an answer that is below a third of its route's usual size and below 0.6 of its usual time counts as a failure, so does a request whose caller gave up after ten usual times; a target with many is placed on behind the others, for 1.5 s to 12 s, then tried by one instance. Peers hear of each failure.

--- a/crates/core/src/direct/decision.rs
+++ b/crates/core/src/direct/decision.rs
@@ -39,6 +39,8 @@
     DroppedEvacuated,
     /// A request took longer than its latency objective.
     AnsweredLate,
+    /// An answer was so much shorter and sooner there than its route's usual ones that it is taken for a failure.
+    AnsweredFailure,
     /// A flow ended without an answer having been seen here.
     EndedUnanswered,
 }
--- a/crates/core/src/direct/flows.rs
+++ b/crates/core/src/direct/flows.rs
@@ -30,8 +30,8 @@
         /// The acknowledgement that came with the request.
         base: u32,
     },
-    /// The answer has begun to arrive.
-    Answered,
+    /// The answer has begun to arrive; how, if that was seen here.
+    Answered(Option<AnswerBegun>),
     /// The caller has sent its last bytes.
     Closed,
 }
@@ -44,6 +44,15 @@
     }
 }
 
+/// An answer that has begun to arrive.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerBegun {
+    /// The acknowledgement that came with the request.
+    pub base: u32,
+    /// How long after the request it began.
+    pub after: Duration,
+}
+
 /// A handshake that is not finished.
 #[derive(Clone, Debug)]
 pub struct Opening {
@@ -140,7 +149,7 @@
     pub fn answered_elsewhere(&mut self, flow: FlowHash) {
         self.moved(flow);
         if let Some(flow) = self.flows.get_mut(&flow).filter(|flow| flow.stage.is_waiting()) {
-            flow.stage = Stage::Answered;
+            flow.stage = Stage::Answered(None);
         }
     }
 
@@ -163,7 +172,7 @@
     /// Drops the records of flows that have been silent, and returns those that were still waiting for an answer.
     pub fn sweep(&mut self, now: Timestamp) -> Vec<Flow> {
         let silent = |_: &FlowHash, flow: &mut Flow| {
-            let limit = if matches!(flow.stage, Stage::Answered) { IDLE } else { SILENT };
+            let limit = if matches!(flow.stage, Stage::Answered(_)) { IDLE } else { SILENT };
             now.saturating_sub(flow.last_seen) >= limit
         };
         let dropped = self.flows.extract_if(silent).map(|(_, flow)| flow);
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -7,7 +7,7 @@
 //! - [`directory`] is what the store says, in [`facts`] that instances pass on to each other; [`routes`] is the
 //!   configuration in it.
 //! - [`placement`] picks a target, by [`work`] (what targets hold, told between instances in [`notes`]), [`outlier`]
-//!   (which seem not to answer), [`patience`] (how long a handshake may take) and [`moves`] (when that tells nothing).
+//!   (which seem not to answer), [`failures`] (which answer with failures), [`patience`] (how long a handshake may take) and [`moves`] (when that tells nothing).
 //! - [`waiting`] keeps flows for which no slot is free, [`window`] bounds what an instance sends while it is alone;
 //!   [`flows`] are the records of those that pass through here.
 //! - [`readiness`] tells whether callers should be handed to this instance at all.
@@ -18,6 +18,7 @@
 pub mod decision;
 pub mod directory;
 pub mod facts;
+pub mod failures;
 pub mod fleet;
 pub mod flows;
 pub mod message;
--- a/crates/core/src/direct/notes.rs
+++ b/crates/core/src/direct/notes.rs
@@ -23,6 +23,8 @@
     pub started: Vec<(FlowHash, Cookie)>,
     /// Flows whose request has been answered or given up.
     pub ended: Vec<FlowHash>,
+    /// Targets of whose answers one looked like a failure.
+    pub failed: Vec<Cookie>,
     /// Targets that seem not to answer, and how long to avoid each.
     pub avoid: Vec<(Cookie, Duration)>,
     /// Targets that answer again after a silence, and how long they count as cold.
@@ -33,20 +35,25 @@
     /// Tells whether there is nothing to tell.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.started.is_empty() && self.ended.is_empty() && self.avoid.is_empty() && self.returning.is_empty()
+        self.len() == 0
+    }
+
+    fn len(&self) -> usize {
+        self.started.len() + self.ended.len() + self.failed.len() + self.avoid.len() + self.returning.len()
     }
 
     /// Splits the notes into parts that fit a datagram each.
     #[must_use]
     pub fn parts(self) -> Vec<Self> {
-        if self.started.len() + self.ended.len() + self.avoid.len() + self.returning.len() <= MAX_ENTRIES {
+        if self.len() <= MAX_ENTRIES {
             return vec![self];
         }
         let started = self.started.chunks(MAX_ENTRIES).map(|part| Self { started: part.to_vec(), ..Self::default() });
         let ended = self.ended.chunks(MAX_ENTRIES).map(|part| Self { ended: part.to_vec(), ..Self::default() });
+        let failed = self.failed.chunks(MAX_ENTRIES).map(|part| Self { failed: part.to_vec(), ..Self::default() });
         let avoid = self.avoid.chunks(MAX_ENTRIES).map(|part| Self { avoid: part.to_vec(), ..Self::default() });
         let returning =
             self.returning.chunks(MAX_ENTRIES).map(|part| Self { returning: part.to_vec(), ..Self::default() });
-        started.chain(ended).chain(avoid).chain(returning).collect()
+        started.chain(ended).chain(failed).chain(avoid).chain(returning).collect()
     }
 }
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -11,6 +11,7 @@
 use crate::Timestamp;
 use crate::direct::directory::Directory;
 use crate::direct::directory::Target;
+use crate::direct::failures::Failures;
 use crate::direct::outlier::Outliers;
 use crate::direct::outlier::Trust;
 use crate::direct::work::OpenWork;
@@ -67,6 +68,8 @@
     pub work: &'a OpenWork,
     /// Which of them seem not to answer.
     pub outliers: &'a Outliers,
+    /// Which of them answer with failures.
+    pub failures: &'a Failures,
     /// The failure domain of this instance.
     pub domain: &'a str,
     /// Whether the work of all failure domains is told here.
@@ -97,6 +100,7 @@
             }
             let cost = (self.cost(now, target), rendezvous::score(hash, target.id), target.id);
             let place = match self.outliers.trust(now, target.id, self.patience, || self.is_mine(target.id)) {
+                Trust::Full if self.failures.is_aside(now, target.id, || self.is_mine(target.id)) => &mut best_doubted,
                 Trust::Full => &mut best,
                 Trust::Doubted => &mut best_doubted,
                 Trust::Silent if self.outliers.may_try_last(now, target.id) => &mut best_silent,
--- a/crates/core/src/direct/steering/following.rs
+++ b/crates/core/src/direct/steering/following.rs
@@ -11,6 +11,7 @@
 use crate::direct::decision::Outcome;
 use crate::direct::directory::Target;
 use crate::direct::directory::cookie;
+use crate::direct::flows::AnswerBegun;
 use crate::direct::flows::Flow;
 use crate::direct::flows::Stage;
 use crate::direct::segment::FlowId;
@@ -18,6 +19,10 @@
 use crate::direct::segment::SegmentKind;
 use hawthornshift_model::TargetId;
 
+/// Usual times of a request after which one whose caller gives up counts as a failure of its target. The slowest of a
+/// thousand requests takes six times the usual.
+const HUNG: u32 = 10;
+
 /// A handshake that the caller has just finished.
 #[derive(Clone, Copy, Debug)]
 struct Handshake {
@@ -65,7 +70,7 @@
         let asks = segment.payload > 0 && segment.kind == SegmentKind::Carry;
         let stage = match segment.kind {
             _ if asks => Stage::Working { base: segment.acknowledged },
-            SegmentKind::Carry => Stage::Answered,
+            SegmentKind::Carry => Stage::Answered(None),
             _ => Stage::Closed,
         };
         let objective = self.directory.route(id.service).map_or(Duration::MAX, |route| route.latency_objective);
@@ -101,20 +106,32 @@
                 segment.acknowledged
             }
             Stage::Working { base } => *base,
-            Stage::Answered if segment.payload > 0 => {
+            Stage::Answered(begun) if segment.payload > 0 => {
+                let begun = *begun;
                 flow.stage = Stage::Working { base: segment.acknowledged };
                 flow.first_seen = now;
+                self.judge_answer(now, segment, target, begun);
                 let short = segment.flow.short();
                 self.work.start(now, short, target);
                 self.notes.started.push((short, cookie(target)));
                 segment.acknowledged
             }
-            Stage::Answered | Stage::Closed => segment.acknowledged,
+            Stage::Answered(begun) => {
+                let begun = *begun;
+                if segment.kind == SegmentKind::Close {
+                    self.judge_answer(now, segment, target, begun);
+                }
+                segment.acknowledged
+            }
+            Stage::Closed => segment.acknowledged,
         };
         // Wrapping distance: sequence numbers pass zero.
         let risen = segment.acknowledged.wrapping_sub(base).cast_signed() > 0;
         if risen {
-            self.answer(now, segment.flow);
+            self.answer(now, segment.flow, base);
+            if segment.kind == SegmentKind::Close {
+                self.judge_begun(now, segment, target);
+            }
         }
         if segment.kind != SegmentKind::Carry {
             self.close(now, segment.flow);
@@ -147,13 +164,13 @@
     }
 
     /// Notes that a flow's answer has begun to arrive: its target is done with the request.
-    fn answer(&mut self, now: Timestamp, id: FlowId) {
+    fn answer(&mut self, now: Timestamp, id: FlowId, base: u32) {
         let Some(flow) = self.flows.get_mut(&id) else { return };
         if !flow.stage.is_waiting() {
             return;
         }
-        flow.stage = Stage::Answered;
         let (took, objective, target) = (now.saturating_sub(flow.first_seen), flow.objective, flow.target);
+        flow.stage = Stage::Answered(Some(AnswerBegun { base, after: took }));
         record(&mut self.answers, took);
         self.window.answered(now, took, objective);
         if took > objective {
@@ -164,11 +181,31 @@
     }
 
     fn end_answered(&mut self, now: Timestamp, id: FlowId) {
-        if self.work.finish(now, id.short()).is_some() {
+        if let Some((target, _)) = self.work.finish(now, id.short()) {
+            self.failures.answered(target);
             self.notes.ended.push(id.short());
         }
     }
 
+    /// Judges an answer that began and ended with the same packet.
+    fn judge_begun(&mut self, now: Timestamp, segment: &Segment, target: TargetId) {
+        if let Some(Stage::Answered(begun)) = self.flows.get(&segment.flow).map(|flow| flow.stage.clone()) {
+            self.judge_answer(now, segment, target, begun);
+        }
+    }
+
+    /// Judges an answer that has ended: its caller has acknowledged all of it.
+    fn judge_answer(&mut self, now: Timestamp, segment: &Segment, target: TargetId, begun: Option<AnswerBegun>) {
+        let Some(AnswerBegun { base, after }) = begun else { return };
+        let bytes = segment.acknowledged.wrapping_sub(base);
+        if self.failures.looks_failed(segment.flow.service, bytes, after) {
+            self.failures.failed(now, target);
+            self.notes.failed.push(cookie(target));
+            let decision = Decision::new(segment.flow, Outcome::AnsweredFailure);
+            self.decide(Decision { took: after, target: Some(target), ..decision });
+        }
+    }
+
     pub(super) fn end_work(&mut self, id: FlowId) {
         if self.work.abandon(id.short()) {
             self.notes.ended.push(id.short());
@@ -178,16 +215,19 @@
     /// Notes a flow's end. Its record stays for the acknowledgements that still come.
     fn close(&mut self, now: Timestamp, id: FlowId) {
         let Some(flow) = self.flows.get_mut(&id) else { return };
-        let waiting = flow.stage.is_waiting();
+        let open = flow.clone();
         flow.stage = Stage::Closed;
-        if waiting {
-            let flow = flow.clone();
-            self.unanswered(now, &flow);
+        if open.stage.is_waiting() {
+            self.unanswered(now, &open);
         }
     }
 
     pub(super) fn unanswered(&mut self, now: Timestamp, flow: &Flow) {
         let took = now.saturating_sub(flow.first_seen);
+        if matches!(flow.stage, Stage::Working { .. }) && took >= self.work.usual() * HUNG {
+            self.failures.failed(now, flow.target);
+            self.notes.failed.push(cookie(flow.target));
+        }
         let decision = Decision::new(flow.id, Outcome::EndedUnanswered);
         self.decide(Decision { took, target: Some(flow.target), ..decision });
         self.end_work(flow.id);
--- a/crates/core/src/direct/steering/mod.rs
+++ b/crates/core/src/direct/steering/mod.rs
@@ -19,6 +19,7 @@
 use crate::direct::directory::Directory;
 use crate::direct::directory::cookie;
 use crate::direct::facts::Delta;
+use crate::direct::failures::Failures;
 use crate::direct::flows::FlowRecords;
 use crate::direct::message::Handover;
 use crate::direct::moves::Moves;
@@ -105,6 +106,7 @@
     directory: Directory,
     work: OpenWork,
     outliers: Outliers,
+    failures: Failures,
     flows: FlowRecords,
     waiting: WaitingRoom,
     patience: Patience,
@@ -163,6 +165,7 @@
             directory: Directory::default(),
             work: OpenWork::default(),
             outliers: Outliers::default(),
+            failures: Failures::default(),
             flows: FlowRecords::default(),
             waiting: WaitingRoom::default(),
             patience: Patience::default(),
@@ -200,6 +203,12 @@
         &self.outliers
     }
 
+    /// Returns how many targets are set aside since their answers look like failures.
+    #[must_use]
+    pub fn failing(&self, now: Timestamp) -> usize {
+        self.failures.count_aside(now)
+    }
+
     /// Returns the counts of decisions.
     #[must_use]
     pub fn counts(&self) -> &OutcomeCounts {
@@ -247,6 +256,7 @@
         if changed {
             let directory = &self.directory;
             self.outliers.retain(|id| directory.target(id).is_some());
+            self.failures.retain(|id| directory.target(id).is_some(), |address| directory.route(address).is_some());
             self.admit_early(now, effects);
             self.dispatch(now, effects);
         }
@@ -339,6 +349,12 @@
             self.flows.answered_elsewhere(*flow);
             if let Some((target, _)) = self.work.finish(now, *flow) {
                 self.outliers.sign_of_life(now, target);
+                self.failures.answered(target);
+            }
+        }
+        for cookie in &notes.failed {
+            if let Some(target) = self.directory.by_cookie(*cookie) {
+                self.failures.failed(now, target.id);
             }
         }
         for (cookie, cold_time) in &notes.returning {
--- a/crates/core/src/direct/steering/opening.rs
+++ b/crates/core/src/direct/steering/opening.rs
@@ -114,6 +114,7 @@
             directory: &self.directory,
             work: &self.work,
             outliers: &self.outliers,
+            failures: &self.failures,
             domain: &self.config.domain,
             all_told: self.all_told,
             patience: self.patience.limit(),
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -131,6 +131,8 @@
     pub alive: bool,
     /// Times that a request takes longer than usual.
     pub slow: f64,
+    /// Part of its requests that it answers at once with a failure, without running them.
+    pub fails: f64,
     busy: usize,
     queue: VecDeque<Work>,
     /// Flows with a SYN or a request, and whether the request has been taken.
@@ -151,6 +153,7 @@
     opened: Option<(TargetId, Cookie)>,
     attempt: u32,
     pub resets: u32,
+    pub failed: bool,
 }
 
 #[derive(Debug)]
@@ -164,6 +167,7 @@
     Opened(usize, FlowId, TargetId),
     Done(TargetId, Work),
     Answered(usize, FlowId),
+    Failed(usize, FlowId),
     Reset(usize, FlowId),
     Peer(usize, u64, Box<Frame>),
     Pulled(usize, u64, Box<Handover>),
@@ -208,6 +212,7 @@
         let sim_target = |_| SimTarget {
             alive: true,
             slow: 1.0,
+            fails: 0.0,
             busy: 0,
             queue: VecDeque::new(),
             flows: BTreeMap::new(),
@@ -458,6 +463,7 @@
             Event::Opened(request, flow, target) => self.opened(request, flow, target),
             Event::Done(target, work) => self.done(target, &work),
             Event::Answered(request, flow) => self.answered(request, flow),
+            Event::Failed(request, flow) => self.failed(request, flow),
             Event::Reset(request, flow) => self.reset(request, flow),
             Event::Learned(..) | Event::Tick(..) | Event::Peer(..) | Event::Pulled(..) => {}
         }
@@ -498,6 +504,7 @@
             opened: None,
             attempt: 0,
             resets: 0,
+            failed: false,
         });
         self.begin(request, flow);
         let gap = -self.rng.random_range(f64::EPSILON..1.0).ln() / self.per_second;
@@ -594,6 +601,10 @@
                 self.after(TO_CALLER, Event::Opened(request, segment.flow, id));
             }
             SegmentKind::Carry if segment.payload > 0 => {
+                if target.fails > 0.0 && self.rng.random_bool(target.fails) {
+                    self.after(TO_CALLER, Event::Failed(request, segment.flow));
+                    return;
+                }
                 let Some(taken) = target.flows.get_mut(&segment.flow) else { return };
                 if !std::mem::replace(taken, true) && target.queue.len() < TARGET_QUEUE {
                     target.queue.push_back(Work { request, flow: segment.flow });
@@ -651,6 +662,17 @@
         self.pass_to_instance(request, SegmentKind::Close, 2_100, 0, cookie);
     }
 
+    /// The caller gets a short answer that says that its request has failed, and gives the request up.
+    fn failed(&mut self, request: usize, flow: FlowId) {
+        let state = &mut self.requests[request];
+        let Some((_, cookie)) = state.opened.filter(|_| state.flow == flow) else { return };
+        // No further attempt is made, and no answer counts any more.
+        state.failed = true;
+        state.tries = RETRIES + 1;
+        self.pass_to_instance(request, SegmentKind::Carry, 250, 0, cookie);
+        self.pass_to_instance(request, SegmentKind::Close, 250, 0, cookie);
+    }
+
     /// Returns the parts of the requests asked in a span that were answered in time and that were answered at all.
     pub fn served(&self, from: Timestamp, to: Timestamp) -> (f64, f64) {
         let asked: Vec<&Request> = self.requests.iter().filter(|r| r.asked >= from && r.asked < to).collect();
--- a/crates/core/tests/direct/load.rs
+++ b/crates/core/tests/direct/load.rs
@@ -189,3 +189,29 @@
     assert!(in_time > 0.99, "{in_time}");
     assert!(at_all > 0.999, "{at_all}");
 }
+
+/// Two targets of fourteen answer every request at once with a failure, while their health checks succeed. Since they
+/// never have work they look the least busy, and without notice of what they answer most callers are sent to them; an
+/// order that fails is not sent again. What callers acknowledge shows it, and all instances hear of it.
+#[test]
+fn targets_that_fail_at_once_draw_no_flows() {
+    let mut sim = Sim::new(10, 9, 14, USUAL);
+    sim.run_until(secs(4));
+    for index in [3, 8] {
+        sim.targets.get_mut(&target_id(index)).unwrap().fails = 1.0;
+    }
+    sim.run_until(secs(9));
+    let asked = sim.requests.iter().filter(|request| request.asked >= secs(4) + ms(300)).count();
+    let failed = sim.requests.iter().filter(|request| request.failed).count();
+    for index in [3, 8] {
+        sim.targets.get_mut(&target_id(index)).unwrap().fails = 0.0;
+    }
+    sim.run_until(secs(24));
+    sim.check();
+    assert!(failed * 100 < asked, "{failed} of {asked} requests failed");
+    // Mended targets get their part again.
+    let late: Vec<usize> = (0..14)
+        .map(|index| sim.targets[&target_id(index)].opened.iter().filter(|at| **at > secs(21)).count())
+        .collect();
+    assert!(late[3] * 3 > late[0] && late[8] * 3 > late[1], "{late:?}");
+}
