Starts of a crowd: few read the store, in turns, and those who know are asked, a few at a time

Cause: after a kill of all 296 instances (2,980 targets) every one read the store within 100 ms, since none had heard of a watcher yet: 1,776 calls of pages, 350 MB over the store's link, first answers after 1.9 s. At a first start all pulled from the one instance that had announced itself, over its link of 10 Mbit/s: 329 pulls failed within 4 s. Ruled out: slow processes (start to asking takes 15 ms to 30 ms). Change: a module of its own decides; four at a time by rank read the store, slow links wait 120 ms; a starting instance asks a random one of those whose heartbeats say that they know the store; each hands over to three at a time.

--- a/crates/core/src/direct/fleet.rs
+++ b/crates/core/src/direct/fleet.rs
@@ -2,6 +2,7 @@
 //!
 //! Built on the product's [`Membership`]; what is added is the watch duty and the exchange of news.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -52,6 +53,8 @@
 /// Time for which an instance waits for an announcement when a heartbeat shows that it is behind. The watcher tells all
 /// others at once, so in nearly all cases it arrives within milliseconds.
 const BEHIND_PATIENCE: Duration = Duration::from_millis(200);
+/// Informed instances that are remembered: enough that those which start together do not all ask the same few.
+const MAX_INFORMED: usize = 16;
 /// Key by which instances are ranked for the watch duty.
 const WATCH_KEY: u64 = 0x77_61_74_63_68;
 
@@ -85,6 +88,8 @@
     started: Timestamp,
     /// When an instance of another failure domain was last heard; `None` before the first.
     heard_elsewhere: Option<Timestamp>,
+    /// Instances that know what the store says, as they have said of late, the latest last.
+    informed: VecDeque<SocketAddr>,
     /// The latest revision that a heartbeat told of and that is not known here, if there is one.
     behind: Option<Behind>,
 }
@@ -116,6 +121,7 @@
             contact: false,
             started: now,
             heard_elsewhere: None,
+            informed: VecDeque::new(),
             behind: None,
         }
     }
@@ -181,6 +187,26 @@
         alive.filter(|member| whole || member.failure_domain == *domain).map(|member| member.control).collect()
     }
 
+    /// Returns instances that know what the store says.
+    #[must_use]
+    pub fn informed(&self) -> Vec<SocketAddr> {
+        self.informed.iter().copied().collect()
+    }
+
+    /// Returns all instances that seem to live.
+    #[must_use]
+    pub fn reachable(&self) -> Vec<SocketAddr> {
+        self.membership.reachable().map(|member| member.control).collect()
+    }
+
+    fn note_informed(&mut self, address: SocketAddr) {
+        self.informed.retain(|known| *known != address);
+        self.informed.push_back(address);
+        if self.informed.len() > MAX_INFORMED {
+            self.informed.pop_front();
+        }
+    }
+
     /// Declares this instance to be leaving.
     pub fn leave(&mut self, now: Timestamp) {
         self.membership.leave();
@@ -260,6 +286,7 @@
     ) -> Vec<FleetEffect> {
         let before = rank_key(sender.id) > rank_key(self.membership.me().id);
         let duty = self.duty.hear(now, sender.id, &announcement, before).map(FleetEffect::Duty);
+        self.note_informed(sender.control);
         let behind = announcement.revision > revision;
         let news = if behind { FleetEffect::Pull(sender.control) } else { FleetEffect::Confirmed };
         duty.into_iter().chain([news]).collect()
@@ -269,6 +296,9 @@
         for update in &heartbeat.members {
             self.membership.absorb(now, update);
         }
+        if heartbeat.revision > 0 {
+            self.note_informed(sender.control);
+        }
         if heartbeat.revision > self.behind.map_or(revision, |behind| behind.revision.max(revision)) {
             let ask_at = self.behind.map_or(now + BEHIND_PATIENCE, |behind| behind.ask_at);
             self.behind = Some(Behind { revision: heartbeat.revision, from: sender.control, ask_at });
@@ -360,7 +390,8 @@
     }
 
     /// Returns how many instances that serve go before this one for the watch duty.
-    fn rank(&self) -> u32 {
+    #[must_use]
+    pub fn rank(&self) -> u32 {
         let mine = rank_key(self.membership.me().id);
         let alive = self.membership.members().filter(|member| member.state == MemberState::Alive);
         u32::try_from(alive.filter(|member| rank_key(member.id) > mine).count()).unwrap_or(u32::MAX)
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -12,7 +12,7 @@
 //!   [`flows`] are the records of those that pass through here.
 //! - [`readiness`] tells whether callers should be handed to this instance at all.
 //! - [`fleet`] is the other instances, [`watch`] who of them watches the store, [`message`] what they say.
-//! - [`standstill`] notices that the process was paused. [`stopping`] tells when a planned stop is over.
+//! - [`starting`] is how an instance learns everything when it starts. [`standstill`] notices that the process was paused. [`stopping`] tells when a planned stop is over.
 //! - [`decision`] is what logs and metrics show of all that.
 
 pub mod decision;
@@ -31,6 +31,7 @@
 pub mod routes;
 pub mod segment;
 pub mod standstill;
+pub mod starting;
 pub mod steering;
 pub mod stopping;
 pub mod waiting;
--- /dev/null
+++ b/crates/core/src/direct/starting.rs
@@ -0,0 +1,100 @@
+//! How an instance that has just started learns what it needs: from a peer, or from the store.
+//!
+//! The load that this answers: all instances of a large fleet lose power and come back at once. Read by 296 of them
+//! together, 3,000 entries fill the store's link for two seconds; pulled by them from the one instance that has announced
+//! itself, they fill its link for longer. So few read the store, in turns by rank, and those on slow links after those on
+//! fast ones; the others ask whoever is known to have everything, and each of these hands it to a few at a time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::Timestamp;
+use crate::direct::watch::WatchDuty;
+
+/// Time after which an instance that no peer has told everything reads the store itself. A peer's answer takes 2 ms
+/// to 10 ms; after a power loss nobody has one, and every millisecond more is one in which nothing is served.
+const READ_AFTER: Duration = Duration::from_millis(15);
+/// The same when the whole fleet starts for the first time, seconds before its callers: drawn up to this, so that
+/// those who start first can tell the others.
+const READ_AFTER_FIRST_START: Duration = Duration::from_millis(900);
+/// Time between two questions to peers.
+const ASK_PERIOD: Duration = Duration::from_millis(60);
+/// Time after which such an instance reads the store although another one watches it: its pulls have failed.
+const ASK_NO_LONGER: Duration = Duration::from_secs(2);
+/// Instances that read the store at the same time, of those that know of each other.
+const READERS: u32 = 4;
+/// Time between the turns of two such groups. 3,000 entries take 50 ms over a link of 200 Mbit/s and 1 s over one of 10;
+/// until the first have them, one more group in each turn keeps the store's link below a tenth of what it carries.
+const TURN: Duration = Duration::from_millis(250);
+/// Longest time that an instance leaves to others: by then they should have told it, or cannot.
+const LAST_TURN: Duration = Duration::from_secs(2);
+/// Bandwidth in Mbit/s below which a link is slow: the fast instances of a mixed fleet have 200 and more.
+const SLOW_LINK: f64 = 50.0;
+/// Time that an instance on a slow link leaves to those on faster ones.
+const SLOW_LINK_WAIT: Duration = Duration::from_millis(120);
+
+/// An instance's attempts to learn everything.
+#[derive(Clone, Copy, Debug)]
+pub struct Starting {
+    read_after: Timestamp,
+    slow_link: bool,
+    next_ask: Timestamp,
+}
+
+impl Starting {
+    /// Begins at time zero; `draw` between zero and one spreads those that start together.
+    #[must_use]
+    pub fn new(first_start: bool, link_mbps: f64, draw: f64) -> Self {
+        let spread = if first_start { READ_AFTER_FIRST_START } else { READ_AFTER };
+        Self {
+            read_after: READ_AFTER + spread.mul_f64(draw),
+            slow_link: link_mbps < SLOW_LINK,
+            next_ask: Timestamp::ZERO,
+        }
+    }
+
+    /// Returns when the store may have to be read by an instance that goes first.
+    #[must_use]
+    pub fn next_due(&self) -> Timestamp {
+        self.read_after
+    }
+
+    /// Notes that somebody is known to have everything: there is no need to wait for the next question.
+    pub fn hasten(&mut self, now: Timestamp) {
+        self.next_ask = self.next_ask.min(now);
+    }
+
+    /// Returns whom to ask now: one of those known to have everything, or else any.
+    pub fn ask(
+        &mut self,
+        now: Timestamp,
+        informed: &[SocketAddr],
+        others: &[SocketAddr],
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddr> {
+        if now < self.next_ask {
+            return None;
+        }
+        let peer = informed.choose(rng).or_else(|| others.choose(rng)).copied();
+        if peer.is_some() {
+            self.next_ask = now + ASK_PERIOD;
+        }
+        peer
+    }
+
+    /// Tells whether to read the store now; `rank` counts the known instances that go before this one.
+    pub fn reads_store(&mut self, now: Timestamp, rank: u32, duty: &WatchDuty) -> bool {
+        let turn = (TURN * (rank / READERS)).min(LAST_TURN);
+        let courtesy = if rank > 0 && self.slow_link { SLOW_LINK_WAIT } else { Duration::ZERO };
+        let due = self.read_after + turn + courtesy;
+        let overdue = now >= due + ASK_NO_LONGER && !duty.is_watching();
+        let reads = overdue || (now >= due && duty.should_read());
+        if reads {
+            self.read_after = now;
+        }
+        reads
+    }
+}
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -6,4 +6,5 @@
 mod load;
 mod routes;
 mod rules;
+mod starting;
 mod watching;
--- /dev/null
+++ b/crates/core/tests/direct/starting.rs
@@ -0,0 +1,78 @@
+//! How instances learn everything when they start, alone and in crowds.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::fleet::ms;
+use hawthornshift_core::Timestamp;
+use hawthornshift_core::direct::message::Announcement;
+use hawthornshift_core::direct::starting::Starting;
+use hawthornshift_core::direct::watch::WatchDuty;
+
+const FAST: f64 = 1_000.0;
+const SLOW: f64 = 10.0;
+
+fn addresses(count: u16) -> Vec<SocketAddr> {
+    (0..count).map(|index| SocketAddr::from(([10, 1, 0, 1], 7_000 + index))).collect()
+}
+
+/// Returns when an instance first reads the store that hears of no watcher.
+fn first_read(starting: &mut Starting, rank: u32) -> Timestamp {
+    let duty = WatchDuty::new(Timestamp::ZERO);
+    (0..10_000).map(ms).find(|now| starting.reads_store(*now, rank, &duty)).unwrap()
+}
+
+/// All instances lose power, and each comes back to find nobody. Callers wait, so each reads the store at once.
+#[test]
+fn one_that_finds_nobody_reads_the_store_at_once() {
+    assert!(first_read(&mut Starting::new(false, FAST, 1.0), 0) <= ms(31));
+    assert!(first_read(&mut Starting::new(false, SLOW, 1.0), 0) <= ms(31));
+}
+
+/// 296 instances come back together and know of each other within milliseconds. If all read the store at once, its link
+/// is full for two seconds, and callers wait until the last of them is done; four at a time take a fraction of that.
+#[test]
+fn a_crowd_reads_the_store_in_turns() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let read = |rank: u32| {
+        let link = if rank.is_multiple_of(10) { 200.0 } else { SLOW };
+        first_read(&mut Starting::new(false, link, rng.random_range(0.0..1.0)), rank)
+    };
+    let reads: Vec<Timestamp> = (0..296).map(read).collect();
+    let within = |span: Duration| reads.iter().filter(|at| **at <= span).count();
+    assert!((1..=4).contains(&within(ms(100))), "{}", within(ms(100)));
+    assert!(within(ms(500)) <= 12, "{}", within(ms(500)));
+    assert!(within(ms(1_000)) <= 20, "{}", within(ms(1_000)));
+}
+
+/// An instance that starts alone in a running fleet asks peers. One that knows nothing cannot help, so those that have
+/// said what they know are asked first, and not always the same one.
+#[test]
+fn those_who_know_are_asked_first() {
+    let (mut starting, mut rng) = (Starting::new(false, FAST, 0.5), SmallRng::seed_from_u64(2));
+    let (informed, others) = (addresses(3), addresses(40));
+    let mut asked = BTreeSet::new();
+    for step in 0..100 {
+        asked.extend(starting.ask(ms(step * 60), &informed, &others, &mut rng));
+    }
+    assert_eq!(asked, informed.into_iter().collect());
+    assert_eq!(starting.ask(ms(5_990), &[], &others, &mut rng), None);
+    starting.hasten(ms(5_991));
+    assert!(starting.ask(ms(5_991), &[], &others, &mut rng).is_some());
+}
+
+/// The first instances to read the store die before they have told anybody. The others do not wait for them for good.
+#[test]
+fn an_instance_that_nobody_tells_reads_the_store_in_the_end() {
+    let mut starting = Starting::new(false, FAST, 0.0);
+    let mut duty = WatchDuty::new(Timestamp::ZERO);
+    let announcement = Announcement { revision: 5, age: ms(1), leaving: false };
+    duty.hear(ms(10), 7, &announcement, true);
+    let read = (0..10_000).map(ms).find(|now| starting.reads_store(*now, 3, &duty)).unwrap();
+    assert!(read > ms(1_900) && read < ms(2_200), "{read:?}");
+}
--- a/crates/direct/src/http_server.rs
+++ b/crates/direct/src/http_server.rs
@@ -22,6 +22,8 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
@@ -36,6 +38,9 @@
 pub const DUMP_PATH: &str = "/dump";
 /// Time within which a client has to send its request; one that does not would hold a descriptor for good.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Whole handovers under way at the same time. Three of 200 KB take half a second over a link of 10 Mbit/s; with more,
+/// none would be done before its asker gives up, and whoever asked tries somebody else.
+pub const MAX_HANDOVERS: usize = 3;
 /// Pause after a failed accept, which is a lack of descriptors and would else be asked for again at once.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -46,6 +51,20 @@
     pub ready: Arc<AtomicBool>,
     /// Where questions go.
     pub tx: mpsc::Sender<Command>,
+    /// Handovers to instances that know nothing yet, which may be under way at the same time.
+    pub handovers: Arc<Semaphore>,
+}
+
+/// A whole handover and its permit, which is free again once the last byte has been written.
+struct HeldHandover {
+    body: Vec<u8>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for HeldHandover {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
 }
 
 /// Serves on an address until cancelled.
@@ -115,16 +134,27 @@
         let Some(since) = since else {
             return respond(StatusCode::BAD_REQUEST, Bytes::from_static(b"since=REVISION is missing"));
         };
+        let permit = if since == 0 { Arc::clone(&self.handovers).try_acquire_owned().ok() } else { None };
+        if since == 0 && permit.is_none() {
+            return respond(StatusCode::TOO_MANY_REQUESTS, Bytes::new());
+        }
         let (answer, rx) = oneshot::channel();
         let sent = self.tx.send(Command::Handover { since, answer }).await;
         let handover = rx.await.ok().filter(|_| sent.is_ok());
         match handover.and_then(|handover| postcard::to_stdvec(&handover).ok()) {
-            Some(body) => respond(StatusCode::OK, Bytes::from(body)),
+            Some(body) => respond(StatusCode::OK, held(body, permit)),
             None => respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
         }
     }
 }
 
+fn held(body: Vec<u8>, permit: Option<OwnedSemaphorePermit>) -> Bytes {
+    match permit {
+        Some(permit) => Bytes::from_owner(HeldHandover { body, _permit: permit }),
+        None => Bytes::from(body),
+    }
+}
+
 fn respond(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::StatusCode;
 use serde::Serialize;
 use thiserror::Error;
 use tokio::net::UdpSocket;
@@ -44,6 +45,9 @@
     /// There was no whole answer.
     #[error(transparent)]
     Exchange(#[from] ExchangeError),
+    /// The instance did not hand over; it does so for a few at a time.
+    #[error("the instance answered {0}")]
+    Refused(StatusCode),
     /// The answer cannot be read.
     #[error("the handover cannot be read: {0}")]
     Malformed(#[from] postcard::Error),
@@ -136,5 +140,8 @@
 pub async fn pull(from: SocketAddr, since: Revision, limit: Duration) -> Result<Handover, HandoverError> {
     let call = Call::get(from, format!("{HANDOVER_PATH}?since={since}"), limit, MAX_HANDOVER_BYTES);
     let response = call.send().await?;
+    if response.status != StatusCode::OK {
+        return Err(HandoverError::Refused(response.status));
+    }
     Ok(postcard::from_bytes(&response.body)?)
 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -11,12 +11,12 @@
 use std::time::UNIX_EPOCH;
 
 use rand::Rng;
-use rand::seq::IteratorRandom;
 use slog::Logger;
 use slog::info;
 use slog::warn;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -33,6 +33,7 @@
 use crate::dump::ProcessCounts;
 use crate::dump::Sources;
 use crate::http_server;
+use crate::http_server::MAX_HANDOVERS;
 use crate::http_server::Services;
 use crate::metrics;
 use crate::peers;
@@ -49,6 +50,7 @@
 use hawthornshift_core::direct::message::Message;
 use hawthornshift_core::direct::readiness::Readiness;
 use hawthornshift_core::direct::standstill::Standstill;
+use hawthornshift_core::direct::starting::Starting;
 use hawthornshift_core::direct::steering::Effect;
 use hawthornshift_core::direct::steering::Steering;
 use hawthornshift_core::direct::steering::SteeringConfig;
@@ -63,16 +65,6 @@
 const FLEET_PERIOD: Duration = Duration::from_millis(50);
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
-/// Time after which an instance that no peer has told everything reads the store itself. A peer's answer takes 2 ms
-/// to 10 ms; after a power loss nobody has one, and every millisecond more is one in which nothing is served.
-const ASK_STORE_AFTER: Duration = Duration::from_millis(15);
-/// The same when the whole fleet starts for the first time, seconds before its callers: drawn up to this, so that
-/// those who start first can tell the others.
-const ASK_STORE_AFTER_FIRST_START: Duration = Duration::from_millis(900);
-/// Time between two pulls of an instance that does not know everything yet.
-const ASK_PERIOD: Duration = Duration::from_millis(60);
-/// Time after which such an instance reads the store although another one watches it: its pulls have failed.
-const ASK_NO_LONGER: Duration = Duration::from_secs(2);
 /// Part of the evacuation bound after which nothing is sent any more to a failure domain that is taken out.
 const EVACUATION_PART: f64 = 0.8;
 
@@ -98,8 +90,7 @@
     stopping: Option<Stopping>,
     pulling: bool,
     store_lost: bool,
-    ask_store_at: Timestamp,
-    next_ask: Timestamp,
+    starting: Starting,
     next_fleet: Timestamp,
     next_settings: Timestamp,
     effects: Vec<Effect>,
@@ -130,16 +121,16 @@
         let (tx, rx) = mpsc::channel(command::QUEUE);
         let (orders, watched) = watch::channel(Order::Rest);
         let ready = Arc::new(AtomicBool::new(false));
-        let services = Services { ready: Arc::clone(&ready), tx: tx.clone() };
+        let handovers = Arc::new(Semaphore::new(MAX_HANDOVERS));
+        let services = Services { ready: Arc::clone(&ready), tx: tx.clone(), handovers };
         let addresses = [Some(platform.ready), Some(platform.peers), platform.control, Some(config.metrics)];
         for address in addresses.into_iter().flatten() {
             http_server::serve(address, services.clone(), cancel.clone()).await?;
         }
         let client = StoreClient::new(platform.store);
         tokio::spawn(store_reader::run(client, watched, tx.clone(), cancel.clone()));
-        let first = platform.first_start;
-        let jitter = if first { ASK_STORE_AFTER_FIRST_START } else { ASK_STORE_AFTER };
-        let ask_store_at = ASK_STORE_AFTER + jitter.mul_f64(rand::rng().random_range(0.0..1.0));
+        let draw = rand::rng().random_range(0.0..1.0);
+        let starting = Starting::new(platform.first_start, platform.link_mbps, draw);
         Ok(Self {
             started: Instant::now(),
             log: config.log.clone(),
@@ -159,8 +150,7 @@
             stopping: None,
             pulling: false,
             store_lost: false,
-            ask_store_at,
-            next_ask: Timestamp::ZERO,
+            starting,
             next_fleet: Timestamp::ZERO,
             next_settings: SETTINGS_PERIOD,
             effects: Vec::new(),
@@ -217,7 +207,7 @@
         if self.steering.directory().is_whole() || !self.fleet.duty().should_read() {
             return due;
         }
-        due.min(self.ask_store_at)
+        due.min(self.starting.next_due())
     }
 
     fn stop(&mut self) {
@@ -274,6 +264,8 @@
             match effect {
                 FleetEffect::Send(to, frame) => self.send(&to, frame),
                 FleetEffect::Duty(duty) => self.order(duty),
+                // One that knows nothing yet asks at its own pace, and not all of them the same instance.
+                FleetEffect::Pull(_) if !self.steering.directory().is_whole() => self.starting.hasten(now),
                 FleetEffect::Pull(from) => self.pull(from),
                 FleetEffect::Confirmed => self.confirm_news(now),
                 FleetEffect::Learn(delta) => self.learn(now, &delta, "peer"),
@@ -472,17 +464,11 @@
 
     /// Gets a whole picture for an instance that has just started, from a peer or from the store.
     fn ask_for_everything(&mut self, now: Timestamp) {
-        if now >= self.next_ask {
-            // Any peer, so that those that start together do not all ask the same one, or one that knows nothing either.
-            let reachable = self.fleet.members().filter(|member| member.state.is_reachable());
-            if let Some(peer) = reachable.map(|member| member.control).choose(&mut rand::rng()) {
-                self.next_ask = now + ASK_PERIOD;
-                self.pull(peer);
-            }
+        let (informed, others) = (self.fleet.informed(), self.fleet.reachable());
+        if let Some(peer) = self.starting.ask(now, &informed, &others, &mut rand::rng()) {
+            self.pull(peer);
         }
-        let overdue = now >= self.ask_store_at + ASK_NO_LONGER && !self.fleet.duty().is_watching();
-        if overdue || (now >= self.ask_store_at && self.fleet.duty().should_read()) {
-            self.ask_store_at = now;
+        if self.starting.reads_store(now, self.fleet.rank(), self.fleet.duty()) {
             self.fleet.duty_mut().begin(now);
             self.order(Duty::Begin);
         }
