A difference that cannot be applied holds back only the news that it is in

Cause: an instance that could not apply a difference of the configuration kept its revision until it had been told everything anew. One that follows the store itself is not told, so its announcements would have stayed at that revision for good, and whoever had missed a datagram would not have noticed. Found by reading; the new property test (whoever_follows_the_store_is_up_to_date) failed on it with four steps. Change: the gap is remembered with its revision and ends when that configuration is known; later news counts as usual.

--- a/crates/core/src/direct/directory.rs
+++ b/crates/core/src/direct/directory.rs
@@ -99,8 +99,8 @@
     forgotten: Revision,
     whole: bool,
     routes: Option<Routes>,
-    /// Whether a difference could not be applied, so that everything has to be asked for anew.
-    gap: bool,
+    /// Revision of the latest difference that could not be applied, until its configuration is known in another way.
+    gap: Option<Revision>,
     targets: BTreeMap<TargetId, Target>,
     by_cookie: Map<Cookie, TargetId>,
     by_service: BTreeMap<String, Vec<TargetId>>,
@@ -126,7 +126,7 @@
     /// Returns the revision from which on to ask for news; zero when everything is wanted.
     #[must_use]
     pub fn ask_since(&self) -> Revision {
-        if self.is_whole() && !self.gap { self.revision } else { 0 }
+        if self.is_whole() && self.gap.is_none() { self.revision } else { 0 }
     }
 
     /// Returns the version of the configuration in force; zero before the first.
@@ -206,20 +206,23 @@
     /// Takes over what is newer than what is known, and tells whether anything was.
     pub fn apply(&mut self, now: Timestamp, delta: &Delta) -> bool {
         let mut changed = false;
+        let mut complete = true;
         let mut named = BTreeSet::new();
         for versioned in &delta.facts {
             if delta.whole {
                 named.extend(key(&versioned.fact));
             }
-            changed |= self.learn(now, versioned);
+            let learned = self.learn(now, versioned);
+            changed |= learned == Learned::New;
+            complete &= learned != Learned::Gap;
         }
+        self.gap = self.gap.filter(|gap| self.routes.as_ref().is_none_or(|routes| routes.revision() < *gap));
         if delta.whole {
             changed |= self.drop_unnamed(now, delta.revision, &named);
         }
-        if delta.whole {
-            self.gap = false;
-        }
-        if delta.whole || (self.whole && !self.gap && delta.since <= self.revision) {
+        // A gap holds back only the news that it is in. One that follows the store itself would else be stuck at an old
+        // revision for good, and those who hear it announced would never notice what they have missed.
+        if delta.whole || (self.whole && complete && delta.since <= self.revision) {
             self.whole = true;
             self.revision = self.revision.max(delta.revision);
         }
@@ -230,16 +233,17 @@
         changed
     }
 
-    fn learn(&mut self, now: Timestamp, versioned: &Versioned) -> bool {
+    fn learn(&mut self, now: Timestamp, versioned: &Versioned) -> Learned {
         let revision = versioned.revision;
-        match &versioned.fact {
+        let new = match &versioned.fact {
             Fact::Target(id, Some(facts)) => self.learn_target(now, revision, *id, facts),
             Fact::Target(id, None) => self.learn_missing(now, revision, *id),
             Fact::Left(id, facts) => self.learn_left(now, revision, *id, facts),
             Fact::Evacuated(domain, evacuated) => self.learn_domain(now, revision, domain, *evacuated),
-            Fact::Routing(routing) => self.learn_routing(revision, routing),
-            Fact::RoutingChange(change) => self.learn_change(revision, change),
-        }
+            Fact::Routing(routing) => return self.learn_routing(revision, routing),
+            Fact::RoutingChange(change) => return self.learn_change(revision, change),
+        };
+        if new { Learned::New } else { Learned::Known }
     }
 
     fn learn_target(&mut self, now: Timestamp, revision: Revision, id: TargetId, facts: &TargetFacts) -> bool {
@@ -304,18 +308,20 @@
         }
     }
 
-    fn learn_routing(&mut self, revision: Revision, routing: &Routing) -> bool {
+    fn learn_routing(&mut self, revision: Revision, routing: &Routing) -> Learned {
         if let Some(routes) = &mut self.routes {
-            return routes.replace(revision, routing) == Learned::New;
+            return routes.replace(revision, routing);
         }
         self.routes = Some(Routes::new(revision, routing.clone()));
-        true
+        Learned::New
     }
 
-    fn learn_change(&mut self, revision: Revision, change: &RoutingChange) -> bool {
+    fn learn_change(&mut self, revision: Revision, change: &RoutingChange) -> Learned {
         let learned = self.routes.as_mut().map_or(Learned::Gap, |routes| routes.change(revision, change));
-        self.gap |= learned == Learned::Gap;
-        learned == Learned::New
+        if learned == Learned::Gap {
+            self.gap = self.gap.max(Some(revision));
+        }
+        learned
     }
 
     /// Counts as missing what a whole picture does not name.
--- a/crates/core/tests/direct/routes.rs
+++ b/crates/core/tests/direct/routes.rs
@@ -81,13 +81,15 @@
     published: Vec<(Revision, Routing)>,
     revision: Revision,
     instances: Vec<Directory>,
+    /// Up to which revision each instance has followed the store; zero when it does not.
+    followed: Vec<Revision>,
 }
 
 impl World {
     fn new() -> Self {
         let first = configuration(1, vec![route(0, 1), route(1, 1)]);
         let instances = vec![Directory::default(); INSTANCES];
-        Self { published: vec![(5, first)], revision: 5, instances }
+        Self { published: vec![(5, first)], revision: 5, instances, followed: vec![0; INSTANCES] }
     }
 
     fn latest(&self, up_to: Revision) -> &(Revision, Routing) {
@@ -112,7 +114,8 @@
                 self.published.push((self.revision, configuration(version, routes)));
             }
             Step::Watch { instance, told } => {
-                let delta = self.news(self.instances[*instance].ask_since());
+                let delta = self.news(self.followed[*instance]);
+                self.followed[*instance] = self.revision;
                 self.instances[*instance].apply(NOW, &delta);
                 let retold = self.instances[*instance].retold(&delta);
                 for index in (0..INSTANCES).filter(|index| told[*index] && index != instance) {
@@ -127,7 +130,10 @@
                 let delta = self.instances[*from].delta_since(NOW, self.instances[*to].ask_since());
                 self.instances[*to].apply(NOW, &delta);
             }
-            Step::Restart(instance) => self.instances[*instance] = Directory::default(),
+            Step::Restart(instance) => {
+                self.instances[*instance] = Directory::default();
+                self.followed[*instance] = 0;
+            }
         }
     }
 }
@@ -152,6 +158,19 @@
         }
     }
 
+    /// An instance that follows the store knows all of it, whatever it could not make use of that others told it. It
+    /// announces how far it is, and by that others notice that they have missed something.
+    #[test]
+    fn whoever_follows_the_store_is_up_to_date(steps in vec(step(), 1..40), instance in 0..INSTANCES) {
+        let mut world = World::new();
+        for step in &steps {
+            world.play(step);
+        }
+        world.play(&Step::Watch { instance, told: vec![false; INSTANCES] });
+        prop_assert_eq!(world.instances[instance].revision(), world.revision);
+        prop_assert_eq!(world.instances[instance].ask_since(), world.revision);
+    }
+
     /// Whoever asks an instance that knows more has everything that it knows after two questions: the first may bring a
     /// difference to a configuration that only one of them has seen.
     #[test]
