--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -195,6 +195,8 @@
     seeds: Vec<SocketAddr>,
     /// SYNs sent to a second target.
     pub again: u64,
+    /// Whether instances hear each other's word on open work.
+    pub told: bool,
     /// Failure domain that is cut off from the others, callers excepted.
     pub cut: Option<usize>,
     /// Probes of its readiness that each instance has missed in a row; `None` while the fabric asks nobody and callers
@@ -235,6 +237,7 @@
             picture: whole(targets),
             seeds: (0..3.min(instances)).map(instance_address).collect(),
             again: 0,
+            told: true,
             cut: None,
             probes_missed: None,
             segments: Vec::new(),
@@ -398,6 +401,9 @@
     }
 
     fn send(&mut self, from: usize, to: &[SocketAddr], frame: &Frame) {
+        if !self.told && matches!(frame, Frame::Notes(_)) {
+            return;
+        }
         for address in to {
             let index = (0..self.instances.len()).find(|index| instance_address(*index) == *address).unwrap();
             let Some(instance) = &self.instances[index] else { continue };
--- a/crates/core/tests/direct/load.rs
+++ b/crates/core/tests/direct/load.rs
@@ -74,6 +74,27 @@
     assert!(at_all > 0.995, "{at_all}");
 }
 
+/// Three targets of fourteen take five times as long, at half of what the others can do. An instance that counts only the
+/// flows which it has placed itself sees a ninth of what a slow target holds, so many callers queue there while others
+/// are idle, and some run into their deadline; by the word of its peers it sees all of it.
+#[test]
+fn the_word_of_peers_keeps_callers_from_slow_targets() {
+    let played = |told| {
+        let mut sim = Sim::new(20, 9, 14, 334.0);
+        sim.told = told;
+        sim.run_until(secs(3));
+        for index in [1, 5, 9] {
+            sim.targets.get_mut(&target_id(index)).unwrap().slow = 5.0;
+        }
+        sim.run_until(secs(13));
+        sim.check();
+        sim.served(secs(4), secs(12))
+    };
+    let ((told, told_at_all), (alone, alone_at_all)) = (played(true), played(false));
+    assert!(told > 0.97 && told > alone + 0.05, "{told} by the word of peers, {alone} alone");
+    assert!(told_at_all > 0.999 && alone_at_all < 0.99, "{told_at_all} by the word of peers, {alone_at_all} alone");
+}
+
 /// A third of the targets takes six times as long for each request, while the load is what the others can just do.
 /// Most callers should be answered by the others in time.
 #[test]
