Four circles of imports cut: each type lies where it is made

News of targets lies with the health that it tells, what a keeper shows with the keeper, the protocol by itself, the number of a process's life by itself, the telling period with the flow table.

--- a/crates/cli/src/direct.rs
+++ b/crates/cli/src/direct.rs
@@ -8,7 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::exit::Exit;
-use crate::instance::incarnation;
+use crate::incarnation::incarnation;
 use crate::settings::Environment;
 use crate::settings::SettingsFault;
 use crate::settings::SettingsFaults;
--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -1,8 +1,5 @@
 //! The process of one instance.
 
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
-
 use slog::error;
 use slog::info;
 use tokio::signal::unix::SignalKind;
@@ -10,6 +7,7 @@
 
 use crate::direct;
 use crate::exit::Exit;
+use crate::incarnation::incarnation;
 use crate::settings;
 use crate::settings::Environment;
 use crate::settings::Request;
@@ -20,7 +18,6 @@
 use hawthornshift_adapters::instance::Serving;
 use hawthornshift_adapters::logs;
 use hawthornshift_adapters::logs::LevelSwitch;
-use hawthornshift_model::Incarnation;
 
 /// Runs one instance until it is told to stop.
 #[must_use]
@@ -99,10 +96,3 @@
         () = instance.finished() => {}
     }
 }
-
-/// Returns the number of this life: later lives have higher ones as long as the machine's clock is not set back by
-/// more than the time between them.
-pub(crate) fn incarnation() -> Incarnation {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Incarnation::try_from(since_epoch.as_millis()).unwrap_or(Incarnation::MAX)
-}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod demo;
 pub mod direct;
 pub mod exit;
+mod incarnation;
 pub mod instance;
 pub mod settings;
 
--- a/crates/core/src/dump.rs
+++ b/crates/core/src/dump.rs
@@ -3,8 +3,8 @@
 use serde::Serialize;
 
 use crate::flows::FlowCounts;
-use crate::health::TargetStatus;
 use crate::invariants::Breach;
+use crate::keeper::KeptDump;
 use crate::message::MemberUpdate;
 use crate::requests::RequestCounts;
 use hawthornshift_model::InstanceId;
@@ -84,19 +84,3 @@
     /// Counts since start.
     pub counts: FlowCounts,
 }
-
-/// A target that the node keeps.
-#[derive(Clone, Debug, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct KeptDump {
-    /// Its name, after its group's.
-    pub name: String,
-    /// Its state.
-    pub status: TargetStatus,
-    /// Requests running there.
-    pub running: u32,
-    /// What its ramp allows.
-    pub limit: u32,
-    /// Requests that it says it runs, when its health endpoint tells.
-    pub reported_load: Option<u32>,
-}
--- a/crates/core/src/flows/table.rs
+++ b/crates/core/src/flows/table.rs
@@ -9,7 +9,6 @@
 
 use hashbrown::HashTable;
 
-use super::telling::TELL_PERIOD;
 use crate::Timestamp;
 use crate::catalog::Catalog;
 use crate::event::Channel;
@@ -27,6 +26,8 @@
 /// Position of a record in the slab.
 type SlotIndex = u32;
 
+/// Time after which flows that stay behind are told again, so that those who were told do not forget them.
+pub const TELL_PERIOD: Duration = Duration::from_mins(2);
 /// Time for which a channel rests after its flow has ended. A late packet of the target would otherwise reach the
 /// caller of the next flow on that channel.
 const CHANNEL_REST: Duration = Duration::from_mins(1);
--- a/crates/core/src/flows/telling.rs
+++ b/crates/core/src/flows/telling.rs
@@ -7,12 +7,12 @@
 //! are confirmed; both ends take a repeated one without harm.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use super::Surroundings;
 use super::table::FlowTable;
 use super::table::Held;
 use super::table::SeatIndex;
+use super::table::TELL_PERIOD;
 use crate::Timestamp;
 use crate::message::FlowBatch;
 use crate::message::FlowNote;
@@ -20,8 +20,6 @@
 use hawthornshift_model::FlowKey;
 use hawthornshift_model::InstanceId;
 
-/// Time after which flows that stay behind are told again, so that those who were told do not forget them.
-pub const TELL_PERIOD: Duration = Duration::from_mins(2);
 /// Records looked at in one tick.
 const SCAN_SLICE: usize = 20_000;
 /// Flows in one batch.
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -10,7 +10,6 @@
 
 use crate::Timestamp;
 use crate::maps::Map;
-use crate::message::TargetNews;
 use hawthornshift_model::TargetId;
 
 /// State of a target.
@@ -28,6 +27,16 @@
     Leaving,
 }
 
+/// State of a target as its keeper sees it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetNews {
+    /// The target.
+    pub target: TargetId,
+    /// Its state.
+    pub status: TargetStatus,
+}
+
 /// Age at which news of a target no longer counts.
 const NEWS_LIFE: Timestamp = Timestamp::from_secs(15);
 
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -14,18 +14,18 @@
 
 use rand::Rng;
 use rand::rngs::SmallRng;
+use serde::Serialize;
 use strum::EnumCount;
 
 use crate::Timestamp;
 use crate::catalog::GroupId;
 use crate::catalog::TargetEntry;
-use crate::dump::KeptDump;
 use crate::event::HealthReport;
 use crate::event::RequestId;
+use crate::health::TargetNews;
 use crate::health::TargetStatus;
 use crate::invariants::Invariant;
 use crate::invariants::Ledger;
-use crate::message::TargetNews;
 use crate::ramp::Ramp;
 use crate::tuning::Tuning;
 use crate::view::Trust;
@@ -505,3 +505,19 @@
         news
     }
 }
+
+/// A target that the node keeps.
+#[derive(Clone, Debug, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct KeptDump {
+    /// Its name, after its group's.
+    pub name: String,
+    /// Its state.
+    pub status: TargetStatus,
+    /// Requests running there.
+    pub running: u32,
+    /// What its ramp allows.
+    pub limit: u32,
+    /// Requests that it says it runs, when its health endpoint tells.
+    pub reported_load: Option<u32>,
+}
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -12,7 +12,7 @@
 use strum::EnumString;
 use strum::IntoStaticStr;
 
-use crate::health::TargetStatus;
+use crate::health::TargetNews;
 use hawthornshift_model::Incarnation;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::PublishedSet;
@@ -128,16 +128,6 @@
     pub targets: Vec<TargetNews>,
 }
 
-/// State of a target as its keeper sees it.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct TargetNews {
-    /// The target.
-    pub target: TargetId,
-    /// Its state.
-    pub status: TargetStatus,
-}
-
 /// What is known of one instance; of two the one with the higher [`MemberUpdate::rank`] holds.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::set::Protocol;
+use crate::protocol::Protocol;
 
 /// Number of an instance, unique among the live ones; it comes from the instance's settings.
 pub type InstanceId = u32;
--- a/crates/model/src/set.rs
+++ b/crates/model/src/set.rs
@@ -16,6 +16,7 @@
 use crate::ids::Revision;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
+use crate::protocol::Protocol;
 
 /// Everything that operators publish at once.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -116,27 +117,6 @@
     pub idle_ms: u64,
 }
 
-/// How callers speak to a service.
-#[derive(Clone, Copy, Debug, Deserialize, Display, EnumString, Eq, Hash, IntoStaticStr, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-#[strum(serialize_all = "kebab-case")]
-pub enum Protocol {
-    /// UDP packets; those of one caller port are a flow.
-    Datagram,
-    /// TCP connections, relayed byte by byte.
-    Stream,
-    /// HTTP/1.1 requests, each balanced by itself.
-    Http,
-}
-
-impl Protocol {
-    /// Tells whether the protocol runs over UDP, which has ports of its own.
-    #[must_use]
-    pub fn is_datagram(self) -> bool {
-        self == Self::Datagram
-    }
-}
-
 /// Priority of a service's callers; an earlier one goes first.
 #[derive(
     Clone,
