--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -44,6 +44,8 @@
 const MISSES: u32 = 2;
 /// Longest time of a look.
 const READY_LIMIT: Duration = Duration::from_millis(400);
+/// How long a packet is held back: long enough for several others to overtake it.
+const LATE: Duration = Duration::from_millis(40);
 /// Number of the first byte that a caller sends.
 const FIRST: u32 = 100;
 
@@ -62,12 +64,16 @@
     pub lost: AtomicU32,
     /// Sent twice.
     pub doubled: AtomicU32,
+    /// Held back, so that later ones overtake them.
+    pub delayed: AtomicU32,
+    /// Changed on the way, which no instance does; only to show that the check of it can fail.
+    pub changed: AtomicU32,
 }
 
 /// All callers.
 #[derive(Debug)]
 pub struct Callers {
-    socket: UdpSocket,
+    socket: Arc<UdpSocket>,
     ip: Ipv4Addr,
     seats: Vec<Seat>,
     waiting: Mutex<HashMap<u16, mpsc::UnboundedSender<Packet>>>,
@@ -97,7 +103,7 @@
         ledger: Arc<Ledger>,
         stop: CancellationToken,
     ) -> io::Result<Arc<Self>> {
-        let socket = UdpSocket::bind(SocketAddr::V4(address)).await?;
+        let socket = Arc::new(UdpSocket::bind(SocketAddr::V4(address)).await?);
         let seat = |(packets, ready)| Seat { packets, ready, misses: AtomicU32::new(MISSES) };
         let callers = Arc::new(Self {
             socket,
@@ -174,9 +180,22 @@
             return;
         }
         let copies = 1 + usize::from(chance(&self.weather.doubled));
+        let delay = if chance(&self.weather.delayed) { LATE } else { Duration::ZERO };
+        let mut bytes = packet.encode();
+        if chance(&self.weather.changed) {
+            bytes[wire::SEQUENCE_AT] ^= 1;
+        }
         for _ in 0..copies {
             // An instance that is down refuses or takes nothing, as on a network.
-            let _ = self.socket.try_send_to(&packet.encode(), seat.packets);
+            if delay.is_zero() {
+                let _ = self.socket.try_send_to(&bytes, seat.packets);
+                continue;
+            }
+            let (socket, bytes, to) = (Arc::clone(&self.socket), bytes.clone(), seat.packets);
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                let _ = socket.try_send_to(&bytes, to);
+            });
         }
     }
 
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -66,6 +66,10 @@
     failed: u64,
     open: BTreeSet<(SocketAddrV4, SocketAddrV4)>,
     target_resets: BTreeSet<(SocketAddrV4, SocketAddrV4)>,
+    /// Ports of routes that were removed, and when.
+    dropped: BTreeMap<u16, Instant>,
+    /// When each route that ever was removed was so the last time.
+    last_dropped: BTreeMap<u16, Instant>,
     breaches: Vec<Breach>,
     timeline: Vec<(Duration, String)>,
 }
@@ -152,15 +156,36 @@
 
     /// Notes that a caller got a reset.
     pub fn caller_reset(&self, flow: (SocketAddrV4, SocketAddrV4)) {
-        let (open, own) = {
+        let (open, allowed) = {
             let state = self.state();
-            (state.open.contains(&flow), state.target_resets.contains(&flow))
+            let dropped = state.last_dropped.get(&flow.1.port()).is_some_and(|at| at.elapsed() <= IN_FORCE);
+            (state.open.contains(&flow), dropped || state.target_resets.contains(&flow))
         };
-        if open && !own {
+        // A flow ends with its route, and with a target that says so itself.
+        if open && !allowed {
             self.breach(Promise::NoForeignReset, format!("flow {}>{} was reset while open", flow.0, flow.1));
         }
     }
 
+    /// Notes that the route to a port was published or removed.
+    pub fn set_route(&self, port: u16, published: bool) {
+        let mut state = self.state();
+        if published {
+            state.dropped.remove(&port);
+        } else {
+            let at = *state.dropped.entry(port).or_insert_with(Instant::now);
+            state.last_dropped.insert(port, at);
+        }
+    }
+
+    /// Notes that a flow to a port has opened at a target.
+    pub fn opened(&self, port: u16) {
+        let dropped = self.state().dropped.get(&port).copied();
+        if dropped.is_some_and(|at| at.elapsed() > IN_FORCE) {
+            self.breach(Promise::DroppedRoute, format!("a flow to port {port} opened after its route was removed"));
+        }
+    }
+
     /// Checks the times at which a cold target got flows.
     pub fn check_cold(&self, target: &str, opened: &[Instant]) {
         for from in opened {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -43,7 +43,7 @@
     Evacuate(usize, Duration),
     /// The configuration gets and loses a route.
     Routes,
-    /// Callers' packets are lost and doubled for a while.
+    /// Callers' packets are lost, doubled and overtaken for a while.
     Weather(Duration),
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -163,7 +163,10 @@
             let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
             let name = (0x1000 + index as u64, service, domain(index));
             let named = (name.0, name.1, name.2.as_str());
-            targets.push(Target::start(named, address, ports.packets, Arc::clone(&ledger), stop.clone()).await?);
+            targets.push(
+                Target::start(named, address, ports.packets, (Arc::clone(&ledger), options.sabotage), stop.clone())
+                    .await?,
+            );
         }
         let addresses = instances.iter().map(Instance::addresses).collect();
         let from = SocketAddrV4::new(Ipv4Addr::new(127, network(), u8::MAX, 1), ports.packets);
@@ -184,7 +187,9 @@
             })
         };
         let mut routes: Vec<_> = SERVICES.iter().map(|(service, port)| route(service, *port, service)).collect();
-        if version.1 {
+        let kept_against_all_word = self.options.sabotage == Some(Promise::DroppedRoute);
+        self.ledger.set_route(EXTRA_PORT, version.1 && !kept_against_all_word);
+        if version.1 || kept_against_all_word {
             routes.push(route("extra", EXTRA_PORT, SERVICES[0].0));
         }
         let services = SERVICES.map(|(name, _)| json!({ "name": name, "warmup-s": 2.0, "warmup-per-s": 0.0 }));
@@ -209,7 +214,10 @@
         for number in 0_usize.. {
             next += gap;
             tokio::time::sleep_until(next).await;
-            let (service, port) = SERVICES[usize::from(number % 4 == 3)];
+            let (service, mut port) = SERVICES[usize::from(number % 4 == 3)];
+            if number % 12 == 4 {
+                port = EXTRA_PORT;
+            }
             let mut named = service;
             if self.options.sabotage == Some(Promise::RightService) {
                 named = "another";
@@ -221,6 +229,7 @@
     }
 
     async fn play(self: &Arc<Self>) {
+        self.sabotage_from_the_start();
         let sizes = Sizes { instances: self.instances.len(), targets: self.targets.len(), domains: DOMAINS };
         let start = Instant::now();
         let mut acts = JoinSet::new();
@@ -236,6 +245,16 @@
         self.sabotage();
     }
 
+    /// Lets a stand-in expect what nobody has told the instances, or change what they never change.
+    fn sabotage_from_the_start(&self) {
+        match self.options.sabotage {
+            Some(Promise::Drain) => self.targets.iter().for_each(|target| target.drain(true)),
+            Some(Promise::Evacuation) => self.targets.iter().for_each(|target| target.evacuate(true)),
+            Some(Promise::Genuine) => self.callers.weather.changed.store(40, Ordering::Relaxed),
+            _ => {}
+        }
+    }
+
     /// Breaks a promise from within a stand-in.
     fn sabotage(&self) {
         match self.options.sabotage {
@@ -296,9 +315,11 @@
             Fault::Weather(span) => {
                 self.callers.weather.lost.store(40, Ordering::Relaxed);
                 self.callers.weather.doubled.store(40, Ordering::Relaxed);
+                self.callers.weather.delayed.store(40, Ordering::Relaxed);
                 tokio::time::sleep(span).await;
                 self.callers.weather.lost.store(0, Ordering::Relaxed);
                 self.callers.weather.doubled.store(0, Ordering::Relaxed);
+                self.callers.weather.delayed.store(0, Ordering::Relaxed);
             }
             Fault::TargetDies(..)
             | Fault::TargetDrains(..)
--- a/crates/soak/src/target.rs
+++ b/crates/soak/src/target.rs
@@ -80,6 +80,8 @@
     state: Arc<Mutex<State>>,
     slots: Arc<Semaphore>,
     ledger: Arc<Ledger>,
+    /// A promise that it breaks, to show that the check of it can fail.
+    sabotage: Option<Promise>,
 }
 
 impl Target {
@@ -92,7 +94,7 @@
         (id, service, domain): (u64, &str, &str),
         address: SocketAddr,
         caller_port: u16,
-        ledger: Arc<Ledger>,
+        (ledger, sabotage): (Arc<Ledger>, Option<Promise>),
         stop: CancellationToken,
     ) -> io::Result<Self> {
         let socket = Arc::new(UdpSocket::bind(address).await?);
@@ -117,6 +119,7 @@
             state: Arc::new(Mutex::new(state)),
             slots: Arc::new(Semaphore::new(SLOTS)),
             ledger,
+            sabotage,
         };
         tokio::spawn(target.clone().serve(stop));
         Ok(target)
@@ -141,9 +144,10 @@
             }
             state.sequence += 1;
             let cold = state.cold_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()));
+            let told_to_drain = state.draining_since.is_some() && self.sabotage != Some(Promise::Drain);
             json!({
                 "service": self.service, "address": self.address.to_string(), "zone": self.domain, "version": "v1",
-                "slots": SLOTS, "state": if state.draining_since.is_some() { "draining" } else { "ready" },
+                "slots": SLOTS, "state": if told_to_drain { "draining" } else { "ready" },
                 "warmup-left-ms": u64::try_from(cold.as_millis()).unwrap_or(u64::MAX), "sequence": state.sequence,
             })
         };
@@ -235,6 +239,7 @@
             if !flow.open {
                 flow.open = true;
                 self.ledger.set_open(key, true);
+                self.ledger.opened(key.1.port());
             }
             flow.acknowledged = flow.acknowledged.max(packet.acknowledged);
             if packet.has(wire::FIN) || packet.has(wire::RST) {
@@ -300,7 +305,8 @@
         self.ledger.ran(id, false);
         tokio::time::sleep(WORK * slow).await;
         drop(permit);
-        let mut answer = format!("{id} answer ").into_bytes();
+        let answered = id + u64::from(self.sabotage == Some(Promise::WholeAnswer));
+        let mut answer = format!("{answered} answer ").into_bytes();
         answer.resize(ANSWER_BYTES, b'.');
         if let Some(flow) = self.state().flows.get_mut(&key) {
             flow.answer = answer;
--- a/crates/soak/src/wire.rs
+++ b/crates/soak/src/wire.rs
@@ -36,6 +36,9 @@
     pub data: Vec<u8>,
 }
 
+/// Position of a packet's number in its bytes.
+pub const SEQUENCE_AT: usize = 24;
+
 impl Packet {
     /// Tells whether a flag is set.
     #[must_use]
