--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -70,6 +70,15 @@
     pub changed: AtomicU32,
 }
 
+impl Weather {
+    /// Sets how many packets of a thousand each of the things befalls that happen on a network.
+    pub fn set(&self, per_mille: u32) {
+        for part in [&self.lost, &self.doubled, &self.delayed] {
+            part.store(per_mille, Ordering::Relaxed);
+        }
+    }
+}
+
 /// All callers.
 #[derive(Debug)]
 pub struct Callers {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -46,6 +46,8 @@
 const COLD: Duration = Duration::from_secs(2);
 /// Time after a kill until an instance starts again.
 const RESTART: Duration = Duration::from_millis(300);
+/// Of a thousand packets, those that are lost in bad weather, those that are doubled, and those that are held back.
+const BAD_WEATHER: u32 = 40;
 /// Time that an instance has for a planned stop.
 const GRACE: Duration = Duration::from_secs(3);
 /// Time after which a silent target's entry lapses.
@@ -250,7 +252,7 @@
         match self.options.sabotage {
             Some(Promise::Drain) => self.targets.iter().for_each(|target| target.drain(true)),
             Some(Promise::Evacuation) => self.targets.iter().for_each(|target| target.evacuate(true)),
-            Some(Promise::Genuine) => self.callers.weather.changed.store(40, Ordering::Relaxed),
+            Some(Promise::Genuine) => self.callers.weather.changed.store(BAD_WEATHER, Ordering::Relaxed),
             _ => {}
         }
     }
@@ -313,13 +315,9 @@
                 *extra = !*extra;
             }
             Fault::Weather(span) => {
-                self.callers.weather.lost.store(40, Ordering::Relaxed);
-                self.callers.weather.doubled.store(40, Ordering::Relaxed);
-                self.callers.weather.delayed.store(40, Ordering::Relaxed);
+                self.callers.weather.set(BAD_WEATHER);
                 tokio::time::sleep(span).await;
-                self.callers.weather.lost.store(0, Ordering::Relaxed);
-                self.callers.weather.doubled.store(0, Ordering::Relaxed);
-                self.callers.weather.delayed.store(0, Ordering::Relaxed);
+                self.callers.weather.set(0);
             }
             Fault::TargetDies(..)
             | Fault::TargetDrains(..)
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -1,5 +1,6 @@
 //! Real processes on the direct path: start, readiness, reload, stop, and a short soak.
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -10,9 +11,11 @@
 use std::time::Instant;
 
 use serde_json::json;
+use strum::IntoEnumIterator;
 use tokio_util::sync::CancellationToken;
 
 use hawthornshift_adapters::http_client::Call;
+use hawthornshift_core::direct::decision::Outcome;
 use hawthornshift_soak::rig::Instance;
 use hawthornshift_soak::rig::Ports;
 use hawthornshift_soak::run;
@@ -132,6 +135,28 @@
     assert_eq!(rig.status("/api/ready").await, Some(200));
 }
 
+/// An engineer looks a metric up and finds nothing, since it was added or renamed without its line in the operators' page.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_metric_and_outcome_is_explained() {
+    let page = include_str!("../docs/OPERATIONS.md");
+    let mut rig = Rig::new("explained").await;
+    rig.publish();
+    rig.instance.start(Path::new(BINARY)).unwrap();
+    rig.wait_for("/api/ready", 200).await;
+    let metrics = rig.text("/metrics").await;
+    let lines = metrics.lines().filter(|line| !line.starts_with('#') && !line.is_empty());
+    let names: BTreeSet<&str> = lines.filter_map(|line| line.split(['{', ' ']).next()).collect();
+    assert!(names.len() > 20, "{names:?}");
+    for name in names {
+        let short = name.strip_prefix("hawthornshift_").unwrap();
+        assert!(page.contains(&format!("`{short}")), "{name} is not in docs/OPERATIONS.md");
+    }
+    for outcome in Outcome::iter() {
+        let name: &str = outcome.into();
+        assert!(page.contains(&format!("`{name}`")), "{name} is not in docs/OPERATIONS.md");
+    }
+}
+
 /// An instance is asked to stop. It says at once that it takes no new flows, goes on serving, and ends by itself well
 /// before it would be killed, with exit code 0.
 #[tokio::test(flavor = "multi_thread")]
