An instance that hears nobody asks for callers again after ten seconds

Cause, found by reading: if all instances of other failure domains are dead while the targets there live, an instance without targets of its own hears nobody, gets no flows that could show what it reaches, and would say 503 for good. Change: a refusal lasts ten seconds at the most, then two seconds of trial.

--- a/crates/core/src/direct/readiness.rs
+++ b/crates/core/src/direct/readiness.rs
@@ -22,6 +22,12 @@
 /// ones in this time, once in some dozen; the handshakes of targets elsewhere tell then.
 pub const OUT_OF_REACH: Duration = Duration::from_millis(600);
 
+/// Longest time for which an instance asks for no callers because of what it does not hear. Cuts last for seconds; and if
+/// all instances elsewhere are dead while the targets there live, only flows can show it.
+const LONGEST_REFUSAL: Duration = Duration::from_secs(10);
+/// Time for which it then asks for callers whatever it hears: two questions of the fabric and some handshakes.
+const TRIAL: Duration = Duration::from_secs(2);
+
 /// Why an instance asks for callers, or for none.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 #[strum(serialize_all = "kebab-case")]
@@ -74,3 +80,30 @@
         if any_elsewhere { Readiness::NoTargetInReach } else { Readiness::Ready }
     }
 }
+
+/// Keeps an instance from refusing callers for good by what it does not hear.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Refusal {
+    since: Option<Timestamp>,
+    trial_until: Timestamp,
+}
+
+impl Refusal {
+    /// Returns what to tell the fabric, by what was judged just now.
+    pub fn settle(&mut self, now: Timestamp, judged: Readiness) -> Readiness {
+        if judged != Readiness::NoTargetInReach {
+            self.since = None;
+            return judged;
+        }
+        if now < self.trial_until {
+            return Readiness::Ready;
+        }
+        let since = *self.since.get_or_insert(now);
+        if now.saturating_sub(since) < LONGEST_REFUSAL {
+            return judged;
+        }
+        self.since = None;
+        self.trial_until = now + TRIAL;
+        Readiness::Ready
+    }
+}
--- a/crates/core/src/direct/steering/mod.rs
+++ b/crates/core/src/direct/steering/mod.rs
@@ -30,6 +30,7 @@
 use crate::direct::placement::Limit;
 use crate::direct::readiness::Reach;
 use crate::direct::readiness::Readiness;
+use crate::direct::readiness::Refusal;
 use crate::direct::segment::Cookie;
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
@@ -107,6 +108,7 @@
     work: OpenWork,
     outliers: Outliers,
     failures: Failures,
+    refusal: Refusal,
     flows: FlowRecords,
     waiting: WaitingRoom,
     patience: Patience,
@@ -166,6 +168,7 @@
             work: OpenWork::default(),
             outliers: Outliers::default(),
             failures: Failures::default(),
+            refusal: Refusal::default(),
             flows: FlowRecords::default(),
             waiting: WaitingRoom::default(),
             patience: Patience::default(),
@@ -278,14 +281,15 @@
 
     /// Tells whether callers should be sent here, by whether other failure domains can be reached.
     #[must_use]
-    pub fn readiness(&self, now: Timestamp, others_in_reach: bool) -> Readiness {
+    pub fn readiness(&mut self, now: Timestamp, others_in_reach: bool) -> Readiness {
         let reach = Reach {
             directory: &self.directory,
             outliers: &self.outliers,
             domain: &self.config.domain,
             patience: self.patience.limit(),
         };
-        reach.readiness(now, others_in_reach)
+        let judged = reach.readiness(now, others_in_reach);
+        self.refusal.settle(now, judged)
     }
 
     /// Tells whether new flows may be placed by what is known here.
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -301,13 +301,13 @@
 
     fn probe(&mut self) {
         let now = self.now;
-        let ready = |instance: &Option<Instance>| {
-            instance.as_ref().is_some_and(|instance| {
+        let ready = |instance: &mut Option<Instance>| {
+            instance.as_mut().is_some_and(|instance| {
                 let others = instance.fleet.reaches_other_domains(now);
                 instance.steering.readiness(now, others) == Readiness::Ready
             })
         };
-        let answers: Vec<bool> = self.instances.iter().map(ready).collect();
+        let answers: Vec<bool> = self.instances.iter_mut().map(ready).collect();
         let Some(missed) = &mut self.probes_missed else { return };
         for (missed, ready) in missed.iter_mut().zip(answers) {
             *missed = if ready { 0 } else { *missed + 1 };
--- /dev/null
+++ b/crates/core/tests/direct/readiness.rs
@@ -0,0 +1,53 @@
+//! When an instance asks for callers and when it does not.
+
+use std::time::Duration;
+
+use crate::fleet::domain;
+use crate::fleet::ms;
+use crate::fleet::whole;
+use hawthornshift_core::Timestamp;
+use hawthornshift_core::direct::facts::Delta;
+use hawthornshift_core::direct::facts::Fact;
+use hawthornshift_core::direct::facts::Versioned;
+use hawthornshift_core::direct::readiness::Readiness;
+use hawthornshift_core::direct::steering::Steering;
+use hawthornshift_core::direct::steering::SteeringConfig;
+
+/// Returns an instance whose own failure domain is taken out.
+fn with_nothing_of_its_own() -> Steering {
+    let config = SteeringConfig { id: 1, domain: domain(0), evacuation_grace: Duration::from_secs(4) };
+    let mut steering = Steering::new(config);
+    assert_eq!(steering.readiness(Timestamp::ZERO, true), Readiness::NotWhole);
+    steering.learn(Timestamp::ZERO, &whole(8), &mut Vec::new());
+    assert_eq!(steering.readiness(Timestamp::ZERO, false), Readiness::Ready);
+    let taken_out = Versioned { revision: 20, fact: Fact::Evacuated(domain(0), true) };
+    let delta = Delta { since: 11, revision: 20, whole: false, facts: vec![taken_out] };
+    steering.learn(Timestamp::ZERO, &delta, &mut Vec::new());
+    steering
+}
+
+/// All instances of the other failure domains are dead while the targets there live. An instance without targets of its
+/// own hears nobody and gets no flows that could show what it reaches; if it refused callers for good, nobody would ever
+/// be served again.
+#[test]
+fn an_instance_that_hears_nobody_tries_again_after_a_while() {
+    let mut steering = with_nothing_of_its_own();
+    let asks = |steering: &mut Steering, from: u64, to: u64| {
+        let times = (from..to).step_by(50);
+        times.filter(|at| steering.readiness(ms(*at), false) == Readiness::Ready).count()
+    };
+    assert_eq!(asks(&mut steering, 0, 9_900), 0);
+    let tries = asks(&mut steering, 9_900, 19_900);
+    assert!((38..=42).contains(&tries), "{tries} times of 50 ms");
+}
+
+/// Every instance is in the same place: nothing is listed any more, or all is taken out. A reset at once is better than
+/// silence, so callers are not turned to instances that could do no better.
+#[test]
+fn an_instance_stays_ready_when_no_other_could_serve() {
+    let mut steering = with_nothing_of_its_own();
+    let out = |index: usize| Versioned { revision: 30 + index as u64, fact: Fact::Evacuated(domain(index), true) };
+    let delta = Delta { since: 20, revision: 40, whole: false, facts: (1..4).map(out).collect() };
+    steering.learn(ms(10), &delta, &mut Vec::new());
+    assert_eq!(steering.readiness(ms(20), false), Readiness::Ready);
+}
