--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -7,12 +7,14 @@
 //! - [`directory`] is what the store says, in [`facts`] that instances pass on to each other; [`routes`] is the
 //!   configuration in it.
 //! - [`placement`] picks a target, by [`work`] (what targets hold, told between instances in [`notes`]), [`outlier`]
-//!   (which seem not to answer), [`failures`] (which answer with failures), [`patience`] (how long a handshake may take) and [`moves`] (when that tells nothing).
+//!   (which seem not to answer), [`failures`] (which answer with failures), [`patience`] (how long a handshake may take)
+//!   and [`moves`] (when that tells nothing).
 //! - [`waiting`] keeps flows for which no slot is free, [`window`] bounds what an instance sends while it is alone;
 //!   [`flows`] are the records of those that pass through here.
 //! - [`readiness`] tells whether callers should be handed to this instance at all.
 //! - [`fleet`] is the other instances, [`watch`] who of them watches the store, [`message`] what they say.
-//! - [`starting`] is how an instance learns everything when it starts. [`standstill`] notices that the process was paused. [`stopping`] tells when a planned stop is over.
+//! - [`starting`] is how an instance learns everything when it starts. [`standstill`] notices that the process was
+//!   paused. [`stopping`] tells when a planned stop is over.
 //! - [`decision`] is what logs and metrics show of all that.
 
 pub mod decision;
--- /dev/null
+++ b/crates/direct/src/process/news.rs
@@ -0,0 +1,123 @@
+//! News of the store: from the reader of the store, from peers, and on to them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use slog::info;
+use slog::warn;
+
+use super::Process;
+use crate::command;
+use crate::command::Command;
+use crate::command::Order;
+use crate::decision_log::millis;
+use crate::peers;
+use hawthornshift_core::Timestamp;
+use hawthornshift_core::direct::facts::Delta;
+use hawthornshift_core::direct::message::Handover;
+use hawthornshift_core::direct::watch::Duty;
+
+impl Process {
+    pub(super) fn confirm_news(&mut self, now: Timestamp) {
+        self.steering.confirm_news(now, &mut self.effects);
+        self.carry_out();
+    }
+
+    pub(super) fn order(&mut self, duty: Duty) {
+        let watching = duty == Duty::Begin;
+        info!(self.log, "store duty"; "watching" => watching, "age_ms" => millis(self.fleet.duty().age(self.now())));
+        let after = if self.steering.directory().is_whole() { self.steering.directory().revision() } else { 0 };
+        self.orders.send_replace(if watching { Order::Watch { after } } else { Order::Rest });
+    }
+
+    /// Asks an instance for what is newer than what is known here, one at a time.
+    pub(super) fn pull(&mut self, from: SocketAddr) {
+        if std::mem::replace(&mut self.pulling, true) {
+            return;
+        }
+        let since = self.steering.directory().ask_since();
+        let (tx, log) = (self.tx.clone(), self.log.clone());
+        tokio::spawn(async move {
+            let asked = Instant::now();
+            let pulled = peers::pull(from, since, command::PULL_LIMIT).await;
+            let took = asked.elapsed();
+            let pulled = pulled.map_err(|error| {
+                warn!(log, "pull failed"; "from" => from, "took_ms" => millis(took), "error" => error.to_string());
+            });
+            // The loop that would receive it has ended if this fails.
+            let _ = tx.send(Command::Pulled { handover: pulled.ok().map(Box::new), took }).await;
+        });
+    }
+
+    pub(super) fn store_said(&mut self, now: Timestamp, delta: &Delta, refused: usize) {
+        self.counts.store_answers += 1;
+        self.counts.entries_refused += refused as u64;
+        if refused > 0 {
+            warn!(self.log, "entries refused"; "count" => refused, "revision" => delta.revision);
+        }
+        if std::mem::take(&mut self.store_lost) {
+            info!(self.log, "store answers again"; "revision" => delta.revision);
+        }
+        self.fleet.duty_mut().answered(now);
+        self.learn(now, delta, "store");
+        self.confirm_news(now);
+        if !delta.facts.is_empty() {
+            let revision = self.steering.directory().revision();
+            // A whole picture is large and comes after a gap: it is announced, and who lacks it pulls it.
+            let told = self.steering.directory().retold(delta);
+            let effects = if delta.whole { Vec::new() } else { self.fleet.push(now, revision, &told) };
+            self.carry_out_fleet(effects);
+        }
+    }
+
+    pub(super) fn store_failed(&mut self, reason: &str) {
+        self.counts.store_failures += 1;
+        if !std::mem::replace(&mut self.store_lost, true) {
+            warn!(self.log, "store lost"; "reason" => reason);
+        }
+    }
+
+    pub(super) fn pulled(&mut self, now: Timestamp, handover: Option<&Handover>, took: Duration) {
+        self.pulling = false;
+        let Some(handover) = handover else {
+            self.counts.pull_failures += 1;
+            return;
+        };
+        self.counts.pulls += 1;
+        self.confirm_news(now);
+        let changed = self.steering.adopt(now, handover, &mut self.effects);
+        self.carry_out();
+        if changed {
+            self.learned(&handover.delta, "handover", took);
+        }
+    }
+
+    pub(super) fn learn(&mut self, now: Timestamp, delta: &Delta, from: &'static str) {
+        let changed = self.steering.learn(now, delta, &mut self.effects);
+        self.carry_out();
+        if changed {
+            self.learned(delta, from, Duration::ZERO);
+        }
+    }
+
+    /// Logs news that took so long to be asked for.
+    pub(super) fn learned(&mut self, delta: &Delta, from: &'static str, took: Duration) {
+        let directory = self.steering.directory();
+        info!(self.log, "news"; "from" => from, "facts" => delta.facts.len(), "whole" => delta.whole,
+            "took_ms" => millis(took), "revision" => directory.revision(), "version" => directory.version());
+        self.look_at_readiness();
+    }
+
+    /// Gets a whole picture for an instance that has just started, from a peer or from the store.
+    pub(super) fn ask_for_everything(&mut self, now: Timestamp) {
+        let (informed, others) = (self.fleet.informed(), self.fleet.reachable());
+        if let Some(peer) = self.starting.ask(now, &informed, &others, &mut rand::rng()) {
+            self.pull(peer);
+        }
+        if self.starting.reads_store(now, self.fleet.rank(), self.fleet.duty()) {
+            self.fleet.duty_mut().begin(now);
+            self.order(Duty::Begin);
+        }
+    }
+}
