Copies of SYNs reach a target that was restarted cold only at a trickle

It had died and was still listed as the only one of its service; its flows' records named it, and when it came back cold the copies of their SYNs, 200 ms and 600 ms old, were all passed on to it. Logs: 21 flows placed from 9.20 s to 9.87 s at revision 91, cold at revision 92 from 9.90 s, flows open from 9.97 s. Ruled out: placement (one placed-cold in that second, as allowed), the budget told to peers. Change: a copy for a target that has turned cold needs the same turn as a new flow; others are dropped and counted (dropped-cold), and their callers' next copies or tries find it warm.

--- a/crates/core/src/direct/decision.rs
+++ b/crates/core/src/direct/decision.rs
@@ -35,6 +35,8 @@
     DroppedUnknownCookie,
     /// A flow that waited was dropped without a word, since another instance may have served its caller meanwhile.
     DroppedWaiting,
+    /// A copy of a SYN was dropped since its target has turned cold meanwhile and bears no more flows just now.
+    DroppedCold,
     /// A packet was dropped since its target's failure domain is taken out.
     DroppedEvacuated,
     /// A request took longer than its latency objective.
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -126,7 +126,8 @@
     ///
     /// Where more than a third of a service's targets come back together, a partition has healed or this instance had
     /// stood still, and they are warm; without them the rest would be overloaded.
-    fn is_cold(&self, now: Timestamp, target: &Target) -> bool {
+    #[must_use]
+    pub fn is_cold(&self, now: Timestamp, target: &Target) -> bool {
         if target.is_cold(now) {
             return true;
         }
--- a/crates/core/src/direct/steering/opening.rs
+++ b/crates/core/src/direct/steering/opening.rs
@@ -45,9 +45,14 @@
             let target = flow.target;
             let overdue = matches!(&flow.stage, Stage::Opening(opening)
                 if now.saturating_sub(opening.sent) >= self.patience.limit());
-            if !overdue || !self.try_another(now, segment.flow, effects) {
-                self.forward(target, segment.cookie, Packet::Current, effects);
+            if overdue && self.try_another(now, segment.flow, effects) {
+                return;
             }
+            if self.is_cold(now, target) && !self.takes_cold_turn(now, target) {
+                self.decide(Decision { target: Some(target), ..Decision::new(segment.flow, Outcome::DroppedCold) });
+                return;
+            }
+            self.forward(target, segment.cookie, Packet::Current, effects);
             return;
         }
         if self.waiting.hear_copy(now, segment, copies) {
@@ -137,14 +142,24 @@
         self.placement().cold(now, service).next().is_some()
     }
 
+    /// Tells whether a target has turned cold.
+    ///
+    /// A target may have been restarted since it was given flows that it never answered. The copies of their SYNs would
+    /// all open flows there at once, however few it bears.
+    fn is_cold(&self, now: Timestamp, target: TargetId) -> bool {
+        self.directory.target(target).is_some_and(|target| self.placement().is_cold(now, target))
+    }
+
+    /// Takes one flow for a cold target, if it is this instance's task to do so and its budget allows.
+    fn takes_cold_turn(&mut self, now: Timestamp, target: TargetId) -> bool {
+        let owner = rendezvous::pick(target, self.instances.iter().copied(), u64::from);
+        owner == Some(self.config.id) && self.cold.take(now, target)
+    }
+
     /// Places on a cold target of this instance's if its budget allows; otherwise the flow waits for one to be warm.
     fn trickle(&mut self, now: Timestamp, waiting: Waiting, effects: &mut Vec<Effect>) {
-        let mine = |target: &TargetId| {
-            let owner = rendezvous::pick(*target, self.instances.iter().copied(), u64::from);
-            owner == Some(self.config.id)
-        };
-        let targets: Vec<TargetId> = self.placement().cold(now, &waiting.service).filter(mine).collect();
-        let target = targets.into_iter().find(|target| self.cold.take(now, *target));
+        let targets: Vec<TargetId> = self.placement().cold(now, &waiting.service).collect();
+        let target = targets.into_iter().find(|target| self.takes_cold_turn(now, *target));
         match target {
             Some(target) => self.place(now, waiting, target, Outcome::PlacedCold, effects),
             None => self.wait(now, waiting, effects),
--- a/crates/core/tests/direct/rules.rs
+++ b/crates/core/tests/direct/rules.rs
@@ -321,6 +321,27 @@
     assert_eq!(standstill.turn(ms(1_150), ms(900_000)), None);
 }
 
+/// The only target of a service dies and gets flows that it never answers, for nobody knows yet. It is restarted cold, and
+/// now come the copies of their SYNs: passed on as they come, they would open all of these flows there within a second,
+/// more than a cold target bears.
+#[test]
+fn copies_for_a_target_that_was_restarted_cold_come_at_a_trickle() {
+    let mut steering = ready(1);
+    let mut effects = Vec::new();
+    for port in 1..10 {
+        steering.packet(ms(10), &syn(port), b"syn", &mut effects);
+    }
+    let restarted = Fact::Target(target_id(0), Some(target_facts(0, Duration::from_secs(2))));
+    let facts = vec![Versioned { revision: 30, fact: restarted }];
+    steering.learn(ms(100), &Delta { since: 11, revision: 30, whole: false, facts }, &mut effects);
+    effects.clear();
+    for port in 1..10 {
+        steering.packet(ms(210), &segment(port, SegmentKind::Open { copies: 1 }), b"syn", &mut effects);
+    }
+    let sent = effects.iter().filter(|effect| matches!(effect, Effect::Forward { .. })).count();
+    assert_eq!(sent, 1, "{effects:?}");
+}
+
 /// All targets of a service are cold, and instances that were restarted at the same time do not agree on whose task it is
 /// to give them a trickle. Whoever hears that another has just placed a flow on a cold target holds back.
 #[test]
