--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -206,10 +206,12 @@
 }
 
 /// Seeds of the short soak.
-const SEEDS: [u64; 3] = [
+const SEEDS: [u64; 4] = [
     41,
     // An instance that was paused woke up and placed what had waited in its socket for 2.6 s on a target that had been
     // restarted cold meanwhile.
     402, // Restarts and a pause at once made three instances believe that a cold target's trickle was theirs.
     110,
+    // The copies of nine SYNs opened flows within a second at a target that had been restarted cold meanwhile.
+    6_216,
 ];
