Flows that peers give up are no sign of life of their target

Instances told the end of work and the end of hope with one note, so each flow that a dead target did not answer made it look alive to all others; when it came back it was not taken for silent, and until the store's word arrived 160 ms later it got its full share. Logs: placed without a pause from 8.9 s on, answers from 10.09 s, cold at revision 94 from 10.22 s. Ruled out: copies of SYNs (mended before), placement on cold targets after revision 94 (dropped-cold). Change: a note of its own for flows that are given up; it ends their work and counts for the target's pace as before, and says nothing about its life.

--- a/crates/core/src/direct/notes.rs
+++ b/crates/core/src/direct/notes.rs
@@ -21,8 +21,11 @@
 pub struct Notes {
     /// Flows given to a target, by its cookie.
     pub started: Vec<(FlowHash, Cookie)>,
-    /// Flows whose request has been answered or given up.
+    /// Flows whose request has been answered.
     pub ended: Vec<FlowHash>,
+    /// Flows of whose request nothing is expected here any more. No sign of life of their targets: were they told as
+    /// answered, a dead target would seem to live by all the flows that it does not answer.
+    pub given_up: Vec<FlowHash>,
     /// Targets of whose answers one looked like a failure.
     pub failed: Vec<Cookie>,
     /// Targets that seem not to answer, and how long to avoid each.
@@ -39,7 +42,8 @@
     }
 
     fn len(&self) -> usize {
-        self.started.len() + self.ended.len() + self.failed.len() + self.avoid.len() + self.returning.len()
+        let flows = self.started.len() + self.ended.len() + self.given_up.len();
+        flows + self.failed.len() + self.avoid.len() + self.returning.len()
     }
 
     /// Splits the notes into parts that fit a datagram each.
@@ -50,10 +54,12 @@
         }
         let started = self.started.chunks(MAX_ENTRIES).map(|part| Self { started: part.to_vec(), ..Self::default() });
         let ended = self.ended.chunks(MAX_ENTRIES).map(|part| Self { ended: part.to_vec(), ..Self::default() });
+        let given_up =
+            self.given_up.chunks(MAX_ENTRIES).map(|part| Self { given_up: part.to_vec(), ..Self::default() });
         let failed = self.failed.chunks(MAX_ENTRIES).map(|part| Self { failed: part.to_vec(), ..Self::default() });
         let avoid = self.avoid.chunks(MAX_ENTRIES).map(|part| Self { avoid: part.to_vec(), ..Self::default() });
         let returning =
             self.returning.chunks(MAX_ENTRIES).map(|part| Self { returning: part.to_vec(), ..Self::default() });
-        started.chain(ended).chain(failed).chain(avoid).chain(returning).collect()
+        started.chain(ended).chain(given_up).chain(failed).chain(avoid).chain(returning).collect()
     }
 }
--- a/crates/core/src/direct/steering/following.rs
+++ b/crates/core/src/direct/steering/following.rs
@@ -208,7 +208,7 @@
 
     pub(super) fn end_work(&mut self, id: FlowId) {
         if self.work.abandon(id.short()) {
-            self.notes.ended.push(id.short());
+            self.notes.given_up.push(id.short());
         }
     }
 
--- a/crates/core/src/direct/steering/mod.rs
+++ b/crates/core/src/direct/steering/mod.rs
@@ -356,6 +356,11 @@
                 self.failures.answered(target);
             }
         }
+        for flow in &notes.given_up {
+            self.flows.answered_elsewhere(*flow);
+            // That it took so long is learned of the target's pace all the same.
+            self.work.finish(now, *flow);
+        }
         for cookie in &notes.failed {
             if let Some(target) = self.directory.by_cookie(*cookie) {
                 self.failures.failed(now, target.id);
--- a/crates/core/tests/direct/rules.rs
+++ b/crates/core/tests/direct/rules.rs
@@ -23,6 +23,7 @@
 use hawthornshift_core::direct::facts::Routing;
 use hawthornshift_core::direct::facts::Versioned;
 use hawthornshift_core::direct::notes::Notes;
+use hawthornshift_core::direct::outlier::Trust;
 use hawthornshift_core::direct::segment::FlowId;
 use hawthornshift_core::direct::segment::Segment;
 use hawthornshift_core::direct::segment::SegmentKind;
@@ -321,6 +322,25 @@
     assert_eq!(standstill.turn(ms(1_150), ms(900_000)), None);
 }
 
+/// A target dies, and every instance sees that handshakes there are not finished. Each gives up the work that it has counted
+/// for these flows and tells the others. Taken for answers, these words would make the target seem alive: when it comes
+/// back cold a second later, all instances would send it their full share until the store has told them.
+#[test]
+fn flows_that_peers_give_up_are_no_sign_of_life() {
+    let mut steering = ready(1);
+    let mut effects = Vec::new();
+    let target = cookie(target_id(0));
+    for round in 0..10_u32 {
+        let now = ms(100 + 100 * u64::from(round));
+        let started = Notes { started: vec![(round, target)], avoid: vec![(target, ms(600))], ..Notes::default() };
+        steering.hear(now, &started, &mut effects);
+        steering.hear(now + ms(50), &Notes { given_up: vec![round], ..Notes::default() }, &mut effects);
+        assert_eq!(steering.work().total(), 0);
+    }
+    let trust = steering.outliers().trust(ms(1_200), target_id(0), ms(40), || false);
+    assert_eq!(trust, Trust::Silent);
+}
+
 /// The only target of a service dies and gets flows that it never answers, for nobody knows yet. It is restarted cold, and
 /// now come the copies of their SYNs: passed on as they come, they would open all of these flows there within a second,
 /// more than a cold target bears.
