--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -206,7 +206,7 @@
 }
 
 /// Seeds of the short soak.
-const SEEDS: [u64; 4] = [
+const SEEDS: [u64; 5] = [
     41,
     // An instance that was paused woke up and placed what had waited in its socket for 2.6 s on a target that had been
     // restarted cold meanwhile.
@@ -214,4 +214,7 @@
     110,
     // The copies of nine SYNs opened flows within a second at a target that had been restarted cold meanwhile.
     6_216,
+    // What instances told each other of flows that a dead target did not answer was taken for its sign of life, and it
+    // got its full share from the moment when it came back cold.
+    7_009,
 ];
