Tests of single processes use a loopback address each

Cause: the last run of the whole script failed once in every_metric_and_outcome_is_explained: its process never became ready. Its ports are found by binding them on 127.0.0.1 and letting go, while the soak in the same test program opens dozens of sockets there; a process that finds its port taken ends. Change: each rig has an address of its own, where nothing else binds. No check was eased.

--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -7,6 +7,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -27,6 +29,16 @@
 /// Longest time of one HTTP call.
 const LIMIT: Duration = Duration::from_secs(5);
 
+/// Returns a loopback address that no other test uses.
+///
+/// Ports are found by binding them and letting go. Tests run side by side, so on one address a second one may be given the
+/// same port before the first has started its process, which then ends since it cannot listen.
+fn own_address() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let process = u8::try_from(std::process::id() % 250).unwrap_or_default();
+    Ipv4Addr::new(127, 220, process, NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 /// One instance with a store, in a directory of its own.
 struct Rig {
     store: Store,
@@ -43,7 +55,7 @@
         let port = |index: usize| taken[index].local_addr().unwrap().port();
         let ports = Ports { packets: port(0), ready: port(1), control: port(2), peers: port(3), metrics: port(4) };
         drop(taken);
-        let ip = Ipv4Addr::LOCALHOST;
+        let ip = own_address();
         let instance = Instance::new((0, "norte"), ip, ports, (store.address(), &[]), &directory).unwrap();
         Self { store, instance, directory }
     }
