Only notable requests are reported to peers; the slowest are learned from

Cause: telling each of up to nine peers of every start and end of a request took two thirds of the processor time (dear on the new deployment), though nearly all requests end before a peer could choose differently for them. Besides, a request that outlasted the time for which work is believed without a sign was dropped from what is learned of its target's pace. Change: requests are reported once open for 1.5 times the usual, or at once at full, cold or formerly slow targets; ends carry the number of unreported answers; signs of life are told of suspected targets; notes are called load reports.

--- a/crates/core/src/direct/fleet.rs
+++ b/crates/core/src/direct/fleet.rs
@@ -11,11 +11,11 @@
 
 use crate::Timestamp;
 use crate::direct::facts::Delta;
+use crate::direct::load_report::LoadReport;
 use crate::direct::message::Announcement;
 use crate::direct::message::Frame;
 use crate::direct::message::Heartbeat;
 use crate::direct::message::Message;
-use crate::direct::notes::Notes;
 use crate::direct::readiness::OUT_OF_REACH;
 use crate::direct::watch::Duty;
 use crate::direct::watch::WatchDuty;
@@ -71,8 +71,8 @@
     Pull(SocketAddr),
     /// Take over news of the store.
     Learn(Delta),
-    /// Take over notes on open work.
-    Hear(Notes),
+    /// Take over a load report.
+    Receive(LoadReport),
     /// The instances that serve have changed.
     Changed,
 }
@@ -178,7 +178,7 @@
         inside.map(|(seat, _)| seat.id).collect()
     }
 
-    /// Returns where notes on open work go.
+    /// Returns where load reports go.
     #[must_use]
     pub fn group(&self) -> Vec<SocketAddr> {
         let whole = self.is_one_group();
@@ -224,7 +224,7 @@
     /// Takes in a datagram.
     pub fn frame(&mut self, now: Timestamp, frame: Frame, revision: Revision) -> Vec<FleetEffect> {
         let (sender, message) = match frame {
-            Frame::Notes(notes) => return vec![FleetEffect::Hear(notes)],
+            Frame::LoadReport(report) => return vec![FleetEffect::Receive(report)],
             Frame::Introduced { sender, message } => (sender, message),
         };
         if sender.id == self.membership.me().id {
--- a/crates/core/src/direct/load_report.rs
+++ b/crates/core/src/direct/load_report.rs
@@ -1,8 +1,11 @@
-//! What instances of a group tell each other of open work and of targets that seem not to answer.
+//! What instances of a group tell each other of open requests and of targets that seem not to answer.
 //!
-//! One datagram a turn of the process carries all that the turn brought, so its cost follows the rate of flows and not
-//! the number of decisions. Nothing is confirmed or repeated: a lost note makes a target look one request fuller or
-//! emptier for a second at most.
+//! One datagram a turn of the process carries all that the turn brought, so its cost follows the rate of what is reported
+//! and not the number of decisions. Nothing is confirmed or repeated: a lost report makes a target look one request fuller
+//! or emptier for a second at most.
+//!
+//! Which requests are reported is decided in [`work`](crate::direct::work): those that could change another instance's
+//! choice.
 
 use std::time::Duration;
 
@@ -13,28 +16,63 @@
 use crate::direct::segment::FlowHash;
 
 /// Most entries of each kind in one datagram, which keeps it below 1,200 bytes.
-pub const MAX_ENTRIES: usize = 100;
+pub const MAX_ENTRIES: usize = 90;
+
+/// A request that a target works on.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct OpenRequest {
+    /// Its flow.
+    pub flow: FlowHash,
+    /// Its target.
+    pub target: Cookie,
+    /// How long it has been open, in milliseconds.
+    pub age_ms: u16,
+}
+
+/// A request that was reported as open and has been answered.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AnsweredRequest {
+    /// Its flow.
+    pub flow: FlowHash,
+    /// Requests that its target has answered since the sender's last report on it and that were never reported: without
+    /// this number a target would seem as slow as the slowest of its requests.
+    pub unreported: u16,
+}
+
+/// A target of whose answers one looked like a failure.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FailedRequest {
+    /// The target.
+    pub target: Cookie,
+    /// Requests that it has answered since the sender's last report on it and that were never reported.
+    pub unreported: u16,
+}
 
 /// News of one turn.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
-pub struct Notes {
-    /// Flows given to a target, by its cookie.
-    pub started: Vec<(FlowHash, Cookie)>,
-    /// Flows whose request has been answered.
-    pub ended: Vec<FlowHash>,
+pub struct LoadReport {
+    /// Requests that targets work on.
+    pub started: Vec<OpenRequest>,
+    /// Requests that have been answered.
+    pub ended: Vec<AnsweredRequest>,
     /// Flows of whose request nothing is expected here any more. No sign of life of their targets: were they told as
     /// answered, a dead target would seem to live by all the flows that it does not answer.
     pub given_up: Vec<FlowHash>,
     /// Targets of whose answers one looked like a failure.
-    pub failed: Vec<Cookie>,
+    pub failed: Vec<FailedRequest>,
     /// Targets that seem not to answer, and how long to avoid each.
     pub avoid: Vec<(Cookie, Duration)>,
+    /// Targets that somebody suspects and that have answered here just now.
+    pub alive: Vec<Cookie>,
     /// Targets that answer again after a silence, and how long they count as cold.
     pub returning: Vec<(Cookie, Duration)>,
 }
 
-impl Notes {
+impl LoadReport {
     /// Tells whether there is nothing to tell.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -43,10 +81,10 @@
 
     fn len(&self) -> usize {
         let flows = self.started.len() + self.ended.len() + self.given_up.len();
-        flows + self.failed.len() + self.avoid.len() + self.returning.len()
+        flows + self.failed.len() + self.avoid.len() + self.alive.len() + self.returning.len()
     }
 
-    /// Splits the notes into parts that fit a datagram each.
+    /// Splits the report into parts that fit a datagram each.
     #[must_use]
     pub fn parts(self) -> Vec<Self> {
         if self.len() <= MAX_ENTRIES {
@@ -58,8 +96,9 @@
             self.given_up.chunks(MAX_ENTRIES).map(|part| Self { given_up: part.to_vec(), ..Self::default() });
         let failed = self.failed.chunks(MAX_ENTRIES).map(|part| Self { failed: part.to_vec(), ..Self::default() });
         let avoid = self.avoid.chunks(MAX_ENTRIES).map(|part| Self { avoid: part.to_vec(), ..Self::default() });
+        let alive = self.alive.chunks(MAX_ENTRIES).map(|part| Self { alive: part.to_vec(), ..Self::default() });
         let returning =
             self.returning.chunks(MAX_ENTRIES).map(|part| Self { returning: part.to_vec(), ..Self::default() });
-        started.chain(ended).chain(given_up).chain(failed).chain(avoid).chain(returning).collect()
+        started.chain(ended).chain(given_up).chain(failed).chain(avoid).chain(alive).chain(returning).collect()
     }
 }
--- a/crates/core/src/direct/message.rs
+++ b/crates/core/src/direct/message.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use crate::direct::facts::Delta;
-use crate::direct::notes::Notes;
+use crate::direct::load_report::LoadReport;
 use crate::direct::segment::FlowHash;
 use crate::message::MemberUpdate;
 use crate::message::Sequence;
@@ -25,8 +25,8 @@
         /// What it says.
         message: Message,
     },
-    /// Notes on open work: the most frequent message, and so without an introduction.
-    Notes(Notes),
+    /// A load report: the most frequent message, and so without an introduction.
+    LoadReport(LoadReport),
 }
 
 /// What an instance says with an introduction.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -6,7 +6,7 @@
 //! - [`steering`] decides about each packet; [`segment`] is what it sees of one.
 //! - [`directory`] is what the store says, in [`facts`] that instances pass on to each other; [`routes`] is the
 //!   configuration in it.
-//! - [`placement`] picks a target, by [`work`] (what targets hold, told between instances in [`notes`]), [`outlier`]
+//! - [`placement`] picks a target, by [`work`] (what targets hold, told between instances in [`load_report`]), [`outlier`]
 //!   (which seem not to answer), [`failures`] (which answer with failures), [`patience`] (how long a handshake may take)
 //!   and [`moves`] (when that tells nothing).
 //! - [`waiting`] keeps flows for which no slot is free, [`window`] bounds what an instance sends while it is alone;
@@ -23,9 +23,9 @@
 pub mod failures;
 pub mod fleet;
 pub mod flows;
+pub mod load_report;
 pub mod message;
 pub mod moves;
-pub mod notes;
 pub mod outlier;
 pub mod patience;
 pub mod placement;
--- a/crates/core/src/direct/outlier.rs
+++ b/crates/core/src/direct/outlier.rs
@@ -32,6 +32,10 @@
 /// other side of a partition.
 const ANYBODY: Duration = Duration::from_millis(2_500);
 
+/// Time after a suspicion in which signs of life of its target are told to the others.
+const WATCHED: Duration = Duration::from_secs(5);
+/// Time between two of them: shorter than the silence after which the target may have been restarted.
+const TELL_ALIVE: Duration = Duration::from_millis(300);
 /// Time between two flows that are given to a silent target when no other is left.
 const LAST_RESORT: Duration = Duration::from_millis(250);
 
@@ -46,6 +50,10 @@
     /// SYN whose fate decides when the avoidance is over; until then no other is risked.
     trial: Option<Timestamp>,
     returning_until: Timestamp,
+    /// Until when others are told of its signs of life.
+    watched_until: Timestamp,
+    /// When they were last told.
+    told_alive: Option<Timestamp>,
 }
 
 impl Record {
@@ -53,6 +61,16 @@
         self.unfinished >= TELL_AFTER
     }
 
+    /// Tells whether a sign of life should be told now, and takes it as told if so.
+    fn owes_sign(&mut self, now: Timestamp) -> bool {
+        let told = self.told_alive.is_some_and(|at| now.saturating_sub(at) < TELL_ALIVE);
+        let owes = now < self.watched_until && !told;
+        if owes {
+            self.told_alive = Some(now);
+        }
+        owes
+    }
+
     fn is_silent(&self, now: Timestamp) -> bool {
         self.is_suspected() && now.saturating_sub(self.last_sign) >= SILENCE
     }
@@ -81,8 +99,9 @@
     pub fn answered(&mut self, now: Timestamp, target: TargetId) -> bool {
         let record = self.records.entry(target).or_default();
         let back = record.is_silent(now);
-        let returning_until = record.returning_until;
-        *record = Record { last_answer: Some(now), last_sign: now, returning_until, ..Record::default() };
+        let Record { returning_until, watched_until, told_alive, .. } = *record;
+        let kept = Record { returning_until, watched_until, told_alive, ..Record::default() };
+        *record = Record { last_answer: Some(now), last_sign: now, ..kept };
         back
     }
 
@@ -102,8 +121,25 @@
     pub fn return_slowly(&mut self, now: Timestamp, target: TargetId, cold_time: Duration) {
         let record = self.records.entry(target).or_default();
         let until = record.returning_until.max(now + cold_time);
-        *record =
-            Record { last_answer: record.last_answer, last_sign: now, returning_until: until, ..Record::default() };
+        let Record { last_answer, watched_until, told_alive, .. } = *record;
+        let kept = Record { last_answer, watched_until, told_alive, ..Record::default() };
+        *record = Record { last_sign: now, returning_until: until, ..kept };
+    }
+
+    /// Notes that a target has answered here; tells whether the others should hear of it, since somebody suspects it.
+    ///
+    /// Without this an instance that has few flows at a target could not tell one that is reached by others from one that
+    /// was restarted, and would hold a target that lost two packets for cold.
+    pub fn answers(&mut self, now: Timestamp, target: TargetId) -> bool {
+        let record = self.records.entry(target).or_default();
+        record.last_sign = now;
+        record.owes_sign(now)
+    }
+
+    /// Tells whether a suspicion that was just heard of is to be answered by a sign of life that was seen here.
+    pub fn refutes(&mut self, now: Timestamp, target: TargetId) -> bool {
+        let Some(record) = self.records.get_mut(&target) else { return false };
+        now.saturating_sub(record.last_sign) < TELL_ALIVE && record.owes_sign(now)
     }
 
     /// Tells whether a target has come back so lately that it counts as cold.
@@ -128,12 +164,16 @@
             _ => (AVOIDANCE * 2_u32.pow(doublings)).min(LONGEST_AVOIDANCE),
         };
         record.avoid_until = record.avoid_until.max(now + avoidance);
+        if record.is_suspected() {
+            record.watched_until = now + WATCHED;
+        }
         record.is_suspected().then_some(avoidance)
     }
 
     /// Takes over a peer's suspicion unless this instance has just seen the target answer.
     pub fn hear(&mut self, now: Timestamp, target: TargetId, avoidance: Duration) {
         let record = self.records.entry(target).or_default();
+        record.watched_until = now + WATCHED;
         if record.last_answer.is_none_or(|at| now.saturating_sub(at) > OWN_EVIDENCE) {
             let avoidance = avoidance.min(LONGEST_AVOIDANCE);
             record.avoid_until = record.avoid_until.max(now + avoidance);
--- a/crates/core/src/direct/steering/following.rs
+++ b/crates/core/src/direct/steering/following.rs
@@ -14,6 +14,8 @@
 use crate::direct::flows::AnswerBegun;
 use crate::direct::flows::Flow;
 use crate::direct::flows::Stage;
+use crate::direct::load_report::AnsweredRequest;
+use crate::direct::load_report::FailedRequest;
 use crate::direct::segment::FlowId;
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
@@ -79,10 +81,11 @@
         self.flows.insert(Flow { id, target, sequence, stage, first_seen: now, last_seen: now, objective });
         if asks {
             self.work.start(now, short, target);
-            self.notes.started.push((short, cookie(target)));
+            self.report_open(now, short, target);
         } else {
             self.work.finish(now, short);
-            self.notes.ended.push(short);
+            let unreported = self.work.take_unreported(target);
+            self.report.ended.push(AnsweredRequest { flow: short, unreported });
         }
     }
 
@@ -113,7 +116,7 @@
                 self.judge_answer(now, segment, target, begun);
                 let short = segment.flow.short();
                 self.work.start(now, short, target);
-                self.notes.started.push((short, cookie(target)));
+                self.report_if_notable(now, short, target);
                 segment.acknowledged
             }
             Stage::Answered(begun) => {
@@ -143,6 +146,7 @@
         if self.outliers.answered(now, target) {
             self.welcome_back(now, target);
         }
+        self.note_alive(now, target);
         if first {
             let took = now.saturating_sub(sent);
             self.patience.sample(took);
@@ -150,7 +154,7 @@
         }
         if moved {
             self.work.start(now, flow.short(), target);
-            self.notes.started.push((flow.short(), cookie(target)));
+            self.report_open(now, flow.short(), target);
         }
     }
 
@@ -159,7 +163,7 @@
         let cold_time = self.directory.cold_time(target);
         if !cold_time.is_zero() {
             self.outliers.return_slowly(now, target, cold_time);
-            self.notes.returning.push((cookie(target), cold_time));
+            self.report.returning.push((cookie(target), cold_time));
         }
     }
 
@@ -177,13 +181,19 @@
             let decision = Decision { took, target: Some(target), ..Decision::new(id, Outcome::AnsweredLate) };
             self.decide(decision);
         }
-        self.end_answered(now, id);
+        self.end_answered(now, id, target, took);
     }
 
-    fn end_answered(&mut self, now: Timestamp, id: FlowId) {
-        if let Some((target, _)) = self.work.finish(now, id.short()) {
-            self.failures.answered(target);
-            self.notes.ended.push(id.short());
+    fn end_answered(&mut self, now: Timestamp, id: FlowId, target: TargetId, took: Duration) {
+        let Some(ended) = self.work.finish(now, id.short()) else {
+            self.work.learn(now, target, took);
+            return;
+        };
+        self.failures.answered(ended.target);
+        self.note_alive(now, ended.target);
+        if ended.reported {
+            let unreported = self.work.take_unreported(ended.target);
+            self.report.ended.push(AnsweredRequest { flow: id.short(), unreported });
         }
     }
 
@@ -200,18 +210,23 @@
         let bytes = segment.acknowledged.wrapping_sub(base);
         if self.failures.looks_failed(segment.flow.service, bytes, after) {
             self.failures.failed(now, target);
-            self.notes.failed.push(cookie(target));
+            self.report_failure(target);
             let decision = Decision::new(segment.flow, Outcome::AnsweredFailure);
             self.decide(Decision { took: after, target: Some(target), ..decision });
         }
     }
 
     pub(super) fn end_work(&mut self, id: FlowId) {
-        if self.work.abandon(id.short()) {
-            self.notes.given_up.push(id.short());
+        if self.work.abandon(id.short()) == Some(true) {
+            self.report.given_up.push(id.short());
         }
     }
 
+    fn report_failure(&mut self, target: TargetId) {
+        let unreported = self.work.take_unreported(target);
+        self.report.failed.push(FailedRequest { target: cookie(target), unreported });
+    }
+
     /// Notes a flow's end. Its record stays for the acknowledgements that still come.
     fn close(&mut self, now: Timestamp, id: FlowId) {
         let Some(flow) = self.flows.get_mut(&id) else { return };
@@ -226,7 +241,7 @@
         let took = now.saturating_sub(flow.first_seen);
         if matches!(flow.stage, Stage::Working { .. }) && took >= self.work.usual() * HUNG {
             self.failures.failed(now, flow.target);
-            self.notes.failed.push(cookie(flow.target));
+            self.report_failure(flow.target);
         }
         let decision = Decision::new(flow.id, Outcome::EndedUnanswered);
         self.decide(Decision { took, target: Some(flow.target), ..decision });
--- a/crates/core/src/direct/steering/mod.rs
+++ b/crates/core/src/direct/steering/mod.rs
@@ -21,9 +21,11 @@
 use crate::direct::facts::Delta;
 use crate::direct::failures::Failures;
 use crate::direct::flows::FlowRecords;
+use crate::direct::load_report::AnsweredRequest;
+use crate::direct::load_report::LoadReport;
+use crate::direct::load_report::OpenRequest;
 use crate::direct::message::Handover;
 use crate::direct::moves::Moves;
-use crate::direct::notes::Notes;
 use crate::direct::outlier::Outliers;
 use crate::direct::patience::Patience;
 use crate::direct::placement::ColdBudget;
@@ -32,6 +34,7 @@
 use crate::direct::readiness::Readiness;
 use crate::direct::readiness::Refusal;
 use crate::direct::segment::Cookie;
+use crate::direct::segment::FlowHash;
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
 use crate::direct::waiting::WaitingRoom;
@@ -124,7 +127,7 @@
     all_told: bool,
     next_sweep: Timestamp,
     next_refresh: Timestamp,
-    notes: Notes,
+    report: LoadReport,
     decisions: Vec<Decision>,
     counts: OutcomeCounts,
     handshakes: Histogram<u32>,
@@ -180,7 +183,7 @@
             early: Vec::new(),
             all_told: true,
             next_sweep: Timestamp::ZERO,
-            notes: Notes::default(),
+            report: LoadReport::default(),
             decisions: Vec::new(),
             counts: OutcomeCounts::default(),
             handshakes: histogram(),
@@ -231,8 +234,8 @@
     }
 
     /// Takes what peers should hear.
-    pub fn take_notes(&mut self) -> Notes {
-        std::mem::take(&mut self.notes)
+    pub fn take_report(&mut self) -> LoadReport {
+        std::mem::take(&mut self.report)
     }
 
     /// Takes the decisions made since the last call.
@@ -242,11 +245,15 @@
 
     /// Takes over which instances serve, which of them tell each other of open work, and whether all of them do.
     ///
-    /// An instance that has just become known has heard nothing of what is under way here, so all of it is told again.
-    pub fn set_fleet(&mut self, instances: Vec<InstanceId>, group: Vec<InstanceId>, all_told: bool) {
+    /// An instance that has just become known has heard nothing of what is under way here, so all that was reported is told
+    /// again.
+    pub fn set_fleet(&mut self, now: Timestamp, instances: Vec<InstanceId>, group: Vec<InstanceId>, all_told: bool) {
         if instances.iter().any(|id| !self.instances.contains(id)) {
-            let open = self.flows.unanswered().map(|flow| (flow.id.short(), cookie(flow.target)));
-            self.notes.started.extend(open.filter(|(flow, _)| self.work.is_open(*flow)));
+            let open = self.flows.unanswered().map(|flow| (flow.id.short(), flow.target));
+            let open: Vec<_> = open.filter(|(flow, _)| self.work.is_reported(*flow)).collect();
+            for (flow, target) in open {
+                self.report_open(now, flow, target);
+            }
         }
         self.instances = instances;
         self.group = group;
@@ -314,7 +321,7 @@
     }
 
     /// Returns what an instance needs that knows everything up to a revision: open work too if it has just started. One
-    /// that only lacks some news hears of work by the notes.
+    /// that only lacks some news hears of work by load reports.
     #[must_use]
     pub fn handover(&self, now: Timestamp, since: Revision) -> Handover {
         let delta = self.directory.delta_since(now, since);
@@ -328,7 +335,7 @@
     pub fn adopt(&mut self, now: Timestamp, handover: &Handover, effects: &mut Vec<Effect>) -> bool {
         for (flow, target, age) in &handover.work {
             if !self.work.is_open(*flow) {
-                self.work.start(now.saturating_sub(*age), *flow, *target);
+                self.work.hear(now, *flow, *target, *age);
             }
         }
         for (target, avoidance) in &handover.avoid {
@@ -337,48 +344,102 @@
         self.learn(now, &handover.delta, effects)
     }
 
-    /// Takes over what a peer tells of open work.
-    pub fn hear(&mut self, now: Timestamp, notes: &Notes, effects: &mut Vec<Effect>) {
-        for (flow, cookie) in &notes.started {
-            self.flows.moved(*flow);
-            self.waiting.remove(*flow);
-            if let Some(target) = self.directory.by_cookie(*cookie) {
-                self.work.start(now, *flow, target.id);
-                if target.is_cold(now) || self.outliers.is_returning(now, target.id) {
-                    self.cold.spent(now, target.id);
-                }
-            }
+    /// Takes over what a peer reports.
+    pub fn receive(&mut self, now: Timestamp, report: &LoadReport, effects: &mut Vec<Effect>) {
+        for open in &report.started {
+            self.receive_open(now, *open);
         }
-        for flow in &notes.ended {
-            self.flows.answered_elsewhere(*flow);
-            if let Some((target, _)) = self.work.finish(now, *flow) {
-                self.outliers.sign_of_life(now, target);
-                self.failures.answered(target);
-            }
+        for answered in &report.ended {
+            self.receive_answered(now, *answered);
         }
-        for flow in &notes.given_up {
+        for flow in &report.given_up {
             self.flows.answered_elsewhere(*flow);
             // That it took so long is learned of the target's pace all the same.
-            self.work.finish(now, *flow);
+            self.work.hear_end(now, *flow, 0);
+        }
+        for failed in &report.failed {
+            if let Some(target) = self.known(failed.target) {
+                self.count_answers(target, failed.unreported);
+                self.failures.failed(now, target);
+            }
         }
-        for cookie in &notes.failed {
-            if let Some(target) = self.directory.by_cookie(*cookie) {
-                self.failures.failed(now, target.id);
+        for (cookie, cold_time) in &report.returning {
+            if let Some(target) = self.known(*cookie) {
+                self.outliers.return_slowly(now, target, *cold_time);
             }
         }
-        for (cookie, cold_time) in &notes.returning {
-            if let Some(target) = self.directory.by_cookie(*cookie) {
-                self.outliers.return_slowly(now, target.id, *cold_time);
+        for cookie in &report.alive {
+            if let Some(target) = self.known(*cookie) {
+                self.outliers.sign_of_life(now, target);
             }
         }
-        for (cookie, avoidance) in &notes.avoid {
-            if let Some(target) = self.directory.by_cookie(*cookie) {
-                self.outliers.hear(now, target.id, *avoidance);
+        for (cookie, avoidance) in &report.avoid {
+            if let Some(target) = self.known(*cookie) {
+                self.receive_suspicion(now, target, *avoidance);
             }
         }
         self.dispatch(now, effects);
     }
 
+    fn known(&self, cookie: Cookie) -> Option<TargetId> {
+        self.directory.by_cookie(cookie).map(|target| target.id)
+    }
+
+    fn receive_open(&mut self, now: Timestamp, open: OpenRequest) {
+        self.flows.moved(open.flow);
+        self.waiting.remove(open.flow);
+        let Some(target) = self.directory.by_cookie(open.target) else { return };
+        self.work.hear(now, open.flow, target.id, Duration::from_millis(u64::from(open.age_ms)));
+        if target.is_cold(now) || self.outliers.is_returning(now, target.id) {
+            self.cold.spent(now, target.id);
+        }
+    }
+
+    fn receive_answered(&mut self, now: Timestamp, answered: AnsweredRequest) {
+        self.flows.answered_elsewhere(answered.flow);
+        if let Some(ended) = self.work.hear_end(now, answered.flow, answered.unreported) {
+            self.outliers.sign_of_life(now, ended.target);
+            self.count_answers(ended.target, answered.unreported.saturating_add(1));
+        }
+    }
+
+    fn count_answers(&mut self, target: TargetId, count: u16) {
+        for _ in 0..count {
+            self.failures.answered(target);
+        }
+    }
+
+    /// Takes over a peer's suspicion, and says so if the target has answered here of late.
+    fn receive_suspicion(&mut self, now: Timestamp, target: TargetId, avoidance: Duration) {
+        self.outliers.hear(now, target, avoidance);
+        if self.outliers.refutes(now, target) {
+            self.report.alive.push(cookie(target));
+        }
+    }
+
+    /// Reports an open request to the other instances.
+    fn report_open(&mut self, now: Timestamp, flow: FlowHash, target: TargetId) {
+        let Some(since) = self.work.mark_reported(flow) else { return };
+        let age_ms = u16::try_from(now.saturating_sub(since).as_millis()).unwrap_or(u16::MAX);
+        self.report.started.push(OpenRequest { flow, target: cookie(target), age_ms });
+    }
+
+    /// Reports a request that a target has just been given if it is notable at once: the target is slow or was so when it
+    /// was last used, its slots are full, or it is cold, and then every other instance must know that its rate is used up.
+    fn report_if_notable(&mut self, now: Timestamp, flow: FlowHash, target: TargetId) {
+        let slots = self.directory.target(target).map_or(1, |target| target.facts.slots.max(1));
+        if self.work.has_been_slow(target) || self.work.count(target) > slots || self.is_cold(now, target) {
+            self.report_open(now, flow, target);
+        }
+    }
+
+    /// Notes a sign of life of a target, and tells it to those who suspect the target.
+    fn note_alive(&mut self, now: Timestamp, target: TargetId) {
+        if self.outliers.answers(now, target) {
+            self.report.alive.push(cookie(target));
+        }
+    }
+
     /// Decides about a caller's packet.
     pub fn packet(&mut self, now: Timestamp, segment: &Segment, packet: &[u8], effects: &mut Vec<Effect>) {
         self.packet_of(now, now, segment, packet, effects);
--- a/crates/core/src/direct/steering/opening.rs
+++ b/crates/core/src/direct/steering/opening.rs
@@ -146,7 +146,7 @@
     ///
     /// A target may have been restarted since it was given flows that it never answered. The copies of their SYNs would
     /// all open flows there at once, however few it bears.
-    fn is_cold(&self, now: Timestamp, target: TargetId) -> bool {
+    pub(super) fn is_cold(&self, now: Timestamp, target: TargetId) -> bool {
         self.directory.target(target).is_some_and(|target| self.placement().is_cold(now, target))
     }
 
@@ -182,7 +182,7 @@
         self.decide(Decision { target: Some(target), work: self.work.count(target), ..decision });
         let flow = segment.flow.short();
         self.work.start(now, flow, target);
-        self.notes.started.push((flow, cookie(target)));
+        self.report_if_notable(now, flow, target);
         self.outliers.tried(now, target);
         self.forward(target, segment.cookie, Packet::Kept(packet.clone()), effects);
         let stage = Stage::Opening(Opening { sent: now, packet, tried });
@@ -204,7 +204,7 @@
         let Stage::Opening(opening) = &flow.stage else { return false };
         let (target, sent) = (flow.target, opening.sent);
         if let Some(avoidance) = self.outliers.unanswered(now, target, sent) {
-            self.notes.avoid.push((cookie(target), avoidance));
+            self.report.avoid.push((cookie(target), avoidance));
         }
         if opening.tried.len() + 1 >= MAX_TRIES {
             return false;
--- a/crates/core/src/direct/steering/timers.rs
+++ b/crates/core/src/direct/steering/timers.rs
@@ -6,12 +6,13 @@
 use super::Steering;
 use crate::Timestamp;
 use crate::direct::decision::Outcome;
-use crate::direct::directory::cookie;
 use crate::direct::flows::Stage;
 use crate::direct::placement::Choice;
 use crate::direct::placement::Limit;
+use crate::direct::segment::FlowHash;
 use crate::direct::segment::FlowId;
 use crate::direct::waiting::Waiting;
+use hawthornshift_model::TargetId;
 
 /// Delay of a timer beyond which this process, and not the target, is taken to have stood still.
 const STALL: Duration = Duration::from_millis(20);
@@ -50,23 +51,39 @@
 
     /// Says that work which has gone on for a while goes on, and gives up what has probably ended unseen.
     fn refresh(&mut self, now: Timestamp) {
-        let mut ended = Vec::new();
+        let (mut ended, mut open) = (Vec::new(), Vec::new());
         for flow in self.flows.unanswered() {
             let short = flow.id.short();
             let moved = self.moves.since(flow.last_seen);
             let silent = now.saturating_sub(flow.last_seen);
             if silent >= self.work.patience(now, flow.target, moved) {
                 ended.push(flow.id);
-            } else if self.work.wants_refresh(now, short) {
-                self.work.start(now, short, flow.target);
-                self.notes.started.push((short, cookie(flow.target)));
+            } else {
+                open.push((short, flow.target));
             }
         }
+        for (flow, target) in open {
+            self.say_open(now, flow, target);
+        }
         for id in ended {
             self.end_work(id);
         }
     }
 
+    /// Keeps a request counted that its caller's packets show to be open, and reports it if it is notable.
+    fn say_open(&mut self, now: Timestamp, flow: FlowHash, target: TargetId) {
+        if !self.work.is_open(flow) {
+            return;
+        }
+        let notable = self.work.wants_report(now, flow);
+        if notable || !self.work.is_reported(flow) {
+            self.work.start(now, flow, target);
+        }
+        if notable {
+            self.report_open(now, flow, target);
+        }
+    }
+
     fn judge_handshake(&mut self, now: Timestamp, due: Timestamp, id: FlowId, effects: &mut Vec<Effect>) {
         let Some(flow) = self.flows.get(&id) else { return };
         let Stage::Opening(opening) = &flow.stage else { return };
--- a/crates/core/src/direct/work.rs
+++ b/crates/core/src/direct/work.rs
@@ -3,6 +3,10 @@
 //! An instance sees the start and the end of the flows whose packets pass through it, and hears of the others in its
 //! group from the instances that see those. A target's own word of its load does not exist on this path: it answers
 //! callers directly.
+//!
+//! Most requests are answered before another instance's choice could depend on them, and to report each of them at its
+//! start and at its end takes two thirds of a process's time. So a request is reported only when it is notable: it stays
+//! open for longer than usual, as all do at a target that is slow, or it goes to a target whose slots are full.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -19,6 +23,9 @@
 const LOST: Duration = Duration::from_millis(500);
 /// Time between two words on work that goes on.
 const REFRESH: Duration = Duration::from_millis(200);
+/// Usual times of a request after which it is reported to the other instances. About one in twelve takes longer at a target
+/// that is neither slow nor full.
+const NOTABLE_AGE: f64 = 1.5;
 /// Usual times of a request for which one that nothing has come of is believed to go on by whoever follows it. The
 /// slowest of a thousand requests takes six times the usual.
 const PATIENCE: f64 = 1.8;
@@ -50,6 +57,19 @@
     since: Timestamp,
     /// When it was last said to be open.
     heard: Timestamp,
+    /// Whether the other instances have been told of it, or have told of it.
+    reported: bool,
+}
+
+/// A request that has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    /// Its target.
+    pub target: TargetId,
+    /// How long it was open.
+    pub took: Duration,
+    /// Whether the other instances know of it.
+    pub reported: bool,
 }
 
 /// A target's mean time for a request.
@@ -65,6 +85,8 @@
     flows: Map<FlowHash, Open>,
     counts: Map<TargetId, u32>,
     paces: Map<TargetId, Pace>,
+    /// Requests that each target has answered since the last report on it and that were never reported.
+    unreported: Map<TargetId, u16>,
     usual: f64,
     due: VecDeque<(Timestamp, FlowHash)>,
 }
@@ -75,6 +97,7 @@
             flows: Map::default(),
             counts: Map::default(),
             paces: Map::default(),
+            unreported: Map::default(),
             usual: ASSUMED_REQUEST.as_secs_f64(),
             due: VecDeque::new(),
         }
@@ -100,19 +123,47 @@
         self.flows.contains_key(&flow)
     }
 
+    /// Tells whether the other instances know of a flow's request.
+    #[must_use]
+    pub fn is_reported(&self, flow: FlowHash) -> bool {
+        self.flows.get(&flow).is_some_and(|open| open.reported)
+    }
+
     /// Notes that a target has been given a request, or works on it still; a flow that was open at another target moves.
     pub fn start(&mut self, now: Timestamp, flow: FlowHash, target: TargetId) {
+        self.open_since(now, now, flow, target);
+    }
+
+    /// Notes that another instance has reported an open request of some age.
+    pub fn hear(&mut self, now: Timestamp, flow: FlowHash, target: TargetId, age: Duration) {
+        self.open_since(now, now.saturating_sub(age), flow, target);
+        self.mark_reported(flow);
+    }
+
+    fn open_since(&mut self, now: Timestamp, since: Timestamp, flow: FlowHash, target: TargetId) {
         if let Some(open) = self.flows.get_mut(&flow).filter(|open| open.target == target) {
             open.heard = now;
             return;
         }
-        if let Some(former) = self.flows.insert(flow, Open { target, since: now, heard: now }) {
+        if let Some(former) = self.flows.insert(flow, Open { target, since, heard: now, reported: false }) {
             self.release(former.target);
         }
         *self.counts.entry(target).or_insert(0) += 1;
         self.due.push_back((now + LOST, flow));
     }
 
+    /// Notes that the other instances know of a request; returns since when it has been open.
+    pub fn mark_reported(&mut self, flow: FlowHash) -> Option<Timestamp> {
+        let open = self.flows.get_mut(&flow)?;
+        open.reported = true;
+        Some(open.since)
+    }
+
+    /// Takes the number of requests that a target has answered since the last call and that were never reported.
+    pub fn take_unreported(&mut self, target: TargetId) -> u16 {
+        self.unreported.remove(&target).unwrap_or(0)
+    }
+
     /// Returns how long a request that a target was given is believed to go on without a sign of it, when callers'
     /// packets have reached other instances meanwhile or not.
     #[must_use]
@@ -121,25 +172,58 @@
         Duration::from_secs_f64(self.usual * times * self.slowness(now, target)).min(PATIENCE_MAX)
     }
 
-    /// Tells whether a flow's work is open and nobody has said so for a while.
+    /// Tells whether the other instances should hear of a flow's request: it has become notable, or nobody has said for a
+    /// while that it is still open.
     #[must_use]
-    pub fn wants_refresh(&self, now: Timestamp, flow: FlowHash) -> bool {
-        self.flows.get(&flow).is_some_and(|open| now.saturating_sub(open.heard) >= REFRESH)
+    pub fn wants_report(&self, now: Timestamp, flow: FlowHash) -> bool {
+        let Some(open) = self.flows.get(&flow) else { return false };
+        if open.reported {
+            return now.saturating_sub(open.heard) >= REFRESH;
+        }
+        now.saturating_sub(open.since).as_secs_f64() >= self.usual * NOTABLE_AGE
+    }
+
+    /// Notes that a request has been answered whose packets pass through this instance.
+    pub fn finish(&mut self, now: Timestamp, flow: FlowHash) -> Option<Ended> {
+        let open = self.cancel(flow)?;
+        let took = now.saturating_sub(open.since);
+        self.learn(now, open.target, took);
+        if !open.reported {
+            let unreported = self.unreported.entry(open.target).or_insert(0);
+            *unreported = unreported.saturating_add(1);
+        }
+        Some(Ended { target: open.target, took, reported: open.reported })
+    }
+
+    /// Learns from the time that a request took whose packets pass through this instance, also when it was no longer
+    /// believed to be open: those that take longest would else be left out.
+    pub fn learn(&mut self, now: Timestamp, target: TargetId, took: Duration) {
+        let capped = took.as_secs_f64().min(self.usual * USUAL_CAP);
+        self.usual += (capped - self.usual) * USUAL_WEIGHT;
+        self.sample(now, target, took);
     }
 
-    /// Notes that a request has been answered.
+    /// Notes that another instance has reported the end of a request, after so many that were never reported.
     ///
-    /// Returns the target and the time that it took.
-    pub fn finish(&mut self, now: Timestamp, flow: FlowHash) -> Option<(TargetId, Duration)> {
+    /// Only notable requests are reported, which are the slow ones. So they say nothing of what is usual, and those that
+    /// were not reported count as usual ones of their target.
+    pub fn hear_end(&mut self, now: Timestamp, flow: FlowHash, unreported: u16) -> Option<Ended> {
         let open = self.cancel(flow)?;
         let took = now.saturating_sub(open.since);
+        let usual = self.usual;
+        if let Some(pace) = self.paces.get_mut(&open.target) {
+            let kept = (1.0 - SAMPLE_WEIGHT).powi(i32::from(unreported));
+            pace.seconds = usual + (pace.seconds - usual) * kept;
+        }
         self.sample(now, open.target, took);
-        Some((open.target, took))
+        Some(Ended { target: open.target, took, reported: true })
     }
 
     /// Notes that a request has ended without an answer, from which nothing is learned of the target's pace.
-    pub fn abandon(&mut self, flow: FlowHash) -> bool {
-        self.cancel(flow).is_some()
+    ///
+    /// Returns whether the other instances know of it, if it was open.
+    pub fn abandon(&mut self, flow: FlowHash) -> Option<bool> {
+        self.cancel(flow).map(|open| open.reported)
     }
 
     fn cancel(&mut self, flow: FlowHash) -> Option<Open> {
@@ -159,7 +243,6 @@
 
     fn sample(&mut self, now: Timestamp, target: TargetId, took: Duration) {
         let took = took.as_secs_f64();
-        self.usual += (took.min(self.usual * USUAL_CAP) - self.usual) * USUAL_WEIGHT;
         let start = Pace { seconds: self.usual, at: now };
         let pace = self.paces.entry(target).or_insert(start);
         pace.seconds += (took - pace.seconds) * SAMPLE_WEIGHT;
@@ -182,6 +265,15 @@
         if ratio < NOTABLE { 1.0 } else { ratio.min(SLOWEST) }
     }
 
+    /// Tells whether a target was notably slow when it was last used, though that may be forgotten by now.
+    ///
+    /// All instances forget it at about the same time. Unless the first that tries the target again tells the others at once,
+    /// each of them gives it a request, and each of these is late.
+    #[must_use]
+    pub fn has_been_slow(&self, target: TargetId) -> bool {
+        self.paces.get(&target).is_some_and(|pace| pace.seconds >= self.usual * NOTABLE)
+    }
+
     /// Gives up work whose end should have been told by now.
     pub fn expire(&mut self, now: Timestamp) {
         while let Some((_, flow)) = self.due.pop_front_if(|(due, _)| *due <= now) {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -267,8 +267,8 @@
                 FleetEffect::Pull(from) => self.pull(from),
                 FleetEffect::Confirmed => self.confirm_news(now),
                 FleetEffect::Learn(delta) => self.learn(now, &delta, "peer"),
-                FleetEffect::Hear(notes) => {
-                    self.steering.hear(now, &notes, &mut self.effects);
+                FleetEffect::Receive(report) => {
+                    self.steering.receive(now, &report, &mut self.effects);
                     self.carry_out();
                 }
                 FleetEffect::Changed => self.fleet_changed(),
@@ -301,7 +301,7 @@
     fn fleet_changed(&mut self) {
         let serving = self.fleet.serving();
         info!(self.log, "instances changed"; "serving" => serving.len());
-        self.steering.set_fleet(serving, self.fleet.group_ids(), self.fleet.is_one_group());
+        self.steering.set_fleet(self.now(), serving, self.fleet.group_ids(), self.fleet.is_one_group());
         self.group = self.fleet.group();
     }
 
@@ -380,10 +380,10 @@
     /// Tells the group what this turn brought, and writes the decisions down.
     fn flush(&mut self) {
         let now = self.now();
-        let notes = self.steering.take_notes();
-        if !notes.is_empty() && !self.group.is_empty() {
-            for part in notes.parts() {
-                self.peers.send(&self.group, &Frame::Notes(part));
+        let report = self.steering.take_report();
+        if !report.is_empty() && !self.group.is_empty() {
+            for part in report.parts() {
+                self.peers.send(&self.group, &Frame::LoadReport(part));
             }
         }
         let directory = self.steering.directory();
