Open flows of targets that are out of reach are reset, after a check

Ruled out: silence and unfinished handshakes alone, which come too late to be safe; resets of idle flows at once. Change: a target that owes an answer for too long is asked for a TCP connection; if it does not accept one while others answer, its flows are reset when their callers wait or ask, unless the request may not be repeated and the target may still work on it.

--- a/crates/core/src/direct/decision.rs
+++ b/crates/core/src/direct/decision.rs
@@ -29,6 +29,8 @@
     ResetNoTarget,
     /// A new flow was reset since every target is full; it was sent nowhere.
     ResetFull,
+    /// An open flow was reset since its target is out of reach or gone: its caller may open another at once.
+    ResetUnreachable,
     /// A packet was dropped since this instance does not know the configuration and the targets yet.
     DroppedNotReady,
     /// A packet was dropped since no target is known by its cookie.
--- a/crates/core/src/direct/directory.rs
+++ b/crates/core/src/direct/directory.rs
@@ -153,6 +153,17 @@
         self.targets.get(&id)
     }
 
+    /// Tells whether another target has taken over the address of one whose entry is gone.
+    #[must_use]
+    pub fn is_replaced(&self, id: TargetId) -> bool {
+        let Some(former) = self.targets.get(&id) else { return false };
+        if !matches!(former.standing, Standing::Missing(_)) {
+            return false;
+        }
+        let listed = self.targets.values().filter(|target| !matches!(target.standing, Standing::Missing(_)));
+        listed.into_iter().any(|target| target.facts.address == former.facts.address)
+    }
+
     /// Returns all targets that are known.
     pub fn targets(&self) -> impl Iterator<Item = &Target> {
         self.targets.values()
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 //! - [`placement`] picks a target, by [`work`] (what targets hold, told between instances in [`load_report`]), [`outlier`]
 //!   (which seem not to answer), [`failures`] (which answer with failures), [`patience`] (how long a handshake may take)
 //!   and [`moves`] (when that tells nothing).
+//! - [`reachability`] checks targets that owe answers, so that flows at those which are out of reach can be reset.
 //! - [`waiting`] keeps flows for which no slot is free, [`window`] bounds what an instance sends while it is alone;
 //!   [`flows`] are the records of those that pass through here.
 //! - [`readiness`] tells whether callers should be handed to this instance at all.
@@ -29,6 +30,7 @@
 pub mod outlier;
 pub mod patience;
 pub mod placement;
+pub mod reachability;
 pub mod readiness;
 pub mod routes;
 pub mod segment;
--- a/crates/core/src/direct/outlier.rs
+++ b/crates/core/src/direct/outlier.rs
@@ -170,6 +170,15 @@
         record.is_suspected().then_some(avoidance)
     }
 
+    /// Notes that a check has found a target to be out of reach; returns for how long to avoid it, as peers should hear.
+    pub fn out_of_reach(&mut self, now: Timestamp, target: TargetId) -> Duration {
+        let record = self.records.entry(target).or_default();
+        record.unfinished = record.unfinished.max(TELL_AFTER);
+        record.avoid_until = record.avoid_until.max(now + AVOIDANCE);
+        record.watched_until = now + WATCHED;
+        AVOIDANCE
+    }
+
     /// Takes over a peer's suspicion unless this instance has just seen the target answer.
     pub fn hear(&mut self, now: Timestamp, target: TargetId, avoidance: Duration) {
         let record = self.records.entry(target).or_default();
--- a/crates/core/src/direct/steering/following.rs
+++ b/crates/core/src/direct/steering/following.rs
@@ -55,7 +55,7 @@
         }
         if self.is_shut(now, target) {
             self.decide(Decision { target: Some(target), ..Decision::new(segment.flow, Outcome::DroppedEvacuated) });
-        } else {
+        } else if !self.reset_unreachable(now, segment, target, effects) {
             self.forward(target, segment.cookie, Packet::Current, effects);
         }
         self.dispatch(now, effects);
@@ -80,6 +80,7 @@
         let sequence = segment.sequence.wrapping_sub(1);
         self.flows.insert(Flow { id, target, sequence, stage, first_seen: now, last_seen: now, objective });
         if asks {
+            self.checks.sent(now, target);
             self.work.start(now, short, target);
             self.report_open(now, short, target);
         } else {
@@ -115,6 +116,7 @@
                 flow.first_seen = now;
                 self.judge_answer(now, segment, target, begun);
                 let short = segment.flow.short();
+                self.checks.sent(now, target);
                 self.work.start(now, short, target);
                 self.report_if_notable(now, short, target);
                 segment.acknowledged
@@ -185,12 +187,12 @@
     }
 
     fn end_answered(&mut self, now: Timestamp, id: FlowId, target: TargetId, took: Duration) {
+        self.note_alive(now, target);
         let Some(ended) = self.work.finish(now, id.short()) else {
             self.work.learn(now, target, took);
             return;
         };
         self.failures.answered(ended.target);
-        self.note_alive(now, ended.target);
         if ended.reported {
             let unreported = self.work.take_unreported(ended.target);
             self.report.ended.push(AnsweredRequest { flow: id.short(), unreported });
--- a/crates/core/src/direct/steering/mod.rs
+++ b/crates/core/src/direct/steering/mod.rs
@@ -5,6 +5,7 @@
 
 mod following;
 mod opening;
+mod resetting;
 mod timers;
 
 use std::net::SocketAddrV4;
@@ -30,6 +31,7 @@
 use crate::direct::patience::Patience;
 use crate::direct::placement::ColdBudget;
 use crate::direct::placement::Limit;
+use crate::direct::reachability::Checks;
 use crate::direct::readiness::Reach;
 use crate::direct::readiness::Readiness;
 use crate::direct::readiness::Refusal;
@@ -78,6 +80,13 @@
         /// The cookie to write into it, if another than it carries.
         cookie: Option<Cookie>,
     },
+    /// Ask a target for a connection, and hand the outcome to [`Steering::checked`].
+    Check {
+        /// Whom.
+        target: TargetId,
+        /// Where.
+        to: SocketAddrV4,
+    },
     /// Answer a caller's packet with a reset.
     Reset(Segment),
 }
@@ -110,6 +119,7 @@
     directory: Directory,
     work: OpenWork,
     outliers: Outliers,
+    checks: Checks,
     failures: Failures,
     refusal: Refusal,
     flows: FlowRecords,
@@ -170,6 +180,7 @@
             directory: Directory::default(),
             work: OpenWork::default(),
             outliers: Outliers::default(),
+            checks: Checks::default(),
             failures: Failures::default(),
             refusal: Refusal::default(),
             flows: FlowRecords::default(),
@@ -209,6 +220,12 @@
         &self.outliers
     }
 
+    /// Returns how many targets are out of reach or gone while flows of theirs may be open.
+    #[must_use]
+    pub fn unreachable(&self) -> usize {
+        self.checks.count_unreachable()
+    }
+
     /// Returns how many targets are set aside since their answers look like failures.
     #[must_use]
     pub fn failing(&self, now: Timestamp) -> usize {
@@ -266,6 +283,7 @@
         if changed {
             let directory = &self.directory;
             self.outliers.retain(|id| directory.target(id).is_some());
+            self.checks.retain(|id| directory.target(id).is_some());
             self.failures.retain(|id| directory.target(id).is_some(), |address| directory.route(address).is_some());
             self.admit_early(now, effects);
             self.dispatch(now, effects);
@@ -412,6 +430,7 @@
     /// Takes over a peer's suspicion, and says so if the target has answered here of late.
     fn receive_suspicion(&mut self, now: Timestamp, target: TargetId, avoidance: Duration) {
         self.outliers.hear(now, target, avoidance);
+        self.checks.suspect(now, target);
         if self.outliers.refutes(now, target) {
             self.report.alive.push(cookie(target));
         }
@@ -435,6 +454,7 @@
 
     /// Notes a sign of life of a target, and tells it to those who suspect the target.
     fn note_alive(&mut self, now: Timestamp, target: TargetId) {
+        self.checks.answered(now, target);
         if self.outliers.answers(now, target) {
             self.report.alive.push(cookie(target));
         }
--- a/crates/core/src/direct/steering/opening.rs
+++ b/crates/core/src/direct/steering/opening.rs
@@ -184,6 +184,7 @@
         self.work.start(now, flow, target);
         self.report_if_notable(now, flow, target);
         self.outliers.tried(now, target);
+        self.checks.sent(now, target);
         self.forward(target, segment.cookie, Packet::Kept(packet.clone()), effects);
         let stage = Stage::Opening(Opening { sent: now, packet, tried });
         let (id, sequence) = (segment.flow, segment.sequence);
@@ -205,6 +206,7 @@
         let (target, sent) = (flow.target, opening.sent);
         if let Some(avoidance) = self.outliers.unanswered(now, target, sent) {
             self.report.avoid.push((cookie(target), avoidance));
+            self.checks.suspect(now, target);
         }
         if opening.tried.len() + 1 >= MAX_TRIES {
             return false;
--- a/crates/core/src/direct/steering/timers.rs
+++ b/crates/core/src/direct/steering/timers.rs
@@ -36,8 +36,13 @@
             self.decide_waiting(now, waiting, effects);
         }
         if now >= self.next_refresh {
+            let late = now.saturating_sub(self.next_refresh);
             self.next_refresh = now + REVIEW;
             self.refresh(now);
+            if late >= FREEZE {
+                self.checks.start_over(now);
+            }
+            self.check_targets(now, effects);
         }
         self.work.expire(now);
         if now >= self.next_sweep {
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -128,6 +128,8 @@
                 let sent = self.socket.try_send_to(&buf, SocketAddr::V4(to));
                 self.count(sent.is_ok(), true);
             }
+            // Not a packet of a caller: the process has a task for it.
+            Effect::Check { .. } => {}
             Effect::Reset(answered) => {
                 let to = SocketAddrV4::new(*answered.flow.caller.ip(), self.caller_port);
                 let sent = self.socket.try_send_to(&packet::reset(&answered), SocketAddr::V4(to));
--- a/crates/direct/src/command.rs
+++ b/crates/direct/src/command.rs
@@ -6,7 +6,9 @@
 
 use hawthornshift_core::direct::facts::Delta;
 use hawthornshift_core::direct::message::Handover;
+use hawthornshift_core::direct::reachability::CheckOutcome;
 use hawthornshift_model::Revision;
+use hawthornshift_model::TargetId;
 
 /// A command to the loop that owns the state.
 #[derive(Debug)]
@@ -23,6 +25,13 @@
         /// Why.
         reason: String,
     },
+    /// A target was asked for a connection.
+    Checked {
+        /// Which.
+        target: TargetId,
+        /// What came of it.
+        outcome: CheckOutcome,
+    },
     /// An instance has handed over what it knows, or could not be asked.
     Pulled {
         /// What it knows.
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -24,6 +24,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::callers::CallerSocket;
+use crate::checker;
 use crate::command;
 use crate::command::Command;
 use crate::command::Order;
@@ -252,7 +253,10 @@
 
     fn carry_out(&mut self) {
         for effect in self.effects.drain(..) {
-            self.callers.carry_out(effect);
+            match effect {
+                Effect::Check { target, to } => checker::check(target, to, &self.tx),
+                effect => self.callers.carry_out(effect),
+            }
         }
     }
 
@@ -310,6 +314,10 @@
         match command {
             Command::StoreSaid { delta, refused } => self.store_said(now, &delta, refused),
             Command::StoreFailed { reason } => self.store_failed(&reason),
+            Command::Checked { target, outcome } => {
+                self.steering.checked(now, target, outcome, &mut self.effects);
+                self.carry_out();
+            }
             Command::Pulled { handover, took } => self.pulled(now, handover.as_deref(), took),
             // Whoever asked may have gone meanwhile.
             Command::Handover { since, answer } => drop(answer.send(self.steering.handover(now, since))),
