--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -43,8 +43,6 @@
     SoloWindow,
     /// Targets that come back from a silence count as cold. A promise to cold targets hangs on it.
     ReturningCold,
-    /// Handshakes are not judged while callers' packets begin to reach other instances.
-    RehashDetection,
     /// An instance that reaches no target asks for no callers.
     ReadinessByReach,
     /// What has waited in sockets while the process stood still is dropped. A promise to cold targets hangs on it.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -7,8 +7,7 @@
 //! - [`directory`] is what the store says, in [`facts`] that instances pass on to each other; [`routes`] is the
 //!   configuration in it.
 //! - [`placement`] picks a target, by [`work`] (what targets hold, told between instances in [`load_report`]), [`outlier`]
-//!   (which seem not to answer), [`failures`] (which answer with failures), [`patience`] (how long a handshake may take)
-//!   and [`moves`] (when that tells nothing).
+//!   (which seem not to answer), [`failures`] (which answer with failures) and [`patience`] (how long a handshake may take).
 //! - [`reachability`] checks targets that owe answers, so that flows at those which are out of reach can be reset.
 //! - [`waiting`] keeps flows for which no slot is free, [`window`] bounds what an instance sends while it is alone;
 //!   [`flows`] are the records of those that pass through here.
@@ -28,7 +27,6 @@
 pub mod load_report;
 pub mod mechanisms;
 pub mod message;
-pub mod moves;
 pub mod outlier;
 pub mod patience;
 pub mod placement;
--- a/crates/core/src/direct/steering/following.rs
+++ b/crates/core/src/direct/steering/following.rs
@@ -69,9 +69,6 @@
     /// without word.
     fn take_over(&mut self, now: Timestamp, segment: &Segment, target: TargetId, effects: &mut Vec<Effect>) {
         let (id, short) = (segment.flow, segment.flow.short());
-        if self.has(Mechanism::RehashDetection) {
-            self.moves.add(now);
-        }
         let asks = segment.payload > 0 && segment.kind == SegmentKind::Carry;
         let stage = match segment.kind {
             _ if asks => Stage::Working { base: segment.acknowledged },
--- a/crates/core/src/direct/steering/timers.rs
+++ b/crates/core/src/direct/steering/timers.rs
@@ -59,9 +59,8 @@
         let (mut ended, mut open) = (Vec::new(), Vec::new());
         for flow in self.flows.unanswered() {
             let short = flow.id.short();
-            let moved = self.moves.since(flow.last_seen);
             let silent = now.saturating_sub(flow.last_seen);
-            if silent >= self.work.patience(now, flow.target, moved) {
+            if silent >= self.work.patience(now, flow.target) {
                 ended.push(flow.id);
             } else {
                 open.push((short, flow.target));
@@ -105,10 +104,6 @@
             self.flows.watch_handshake(id.short(), now + STALL);
             return;
         }
-        if self.moves.are_many(now) {
-            self.end_work(id);
-            return;
-        }
         // Without a handshake there is no work, whoever is to blame: a target that is dead, or a caller that has given
         // up. Counted on, such flows would make every target look full in the seconds after an outage.
         if !self.try_another(now, id, effects) {
--- a/crates/core/src/direct/work.rs
+++ b/crates/core/src/direct/work.rs
@@ -29,8 +29,6 @@
 /// Usual times of a request for which one that nothing has come of is believed to go on by whoever follows it. The
 /// slowest of a thousand requests takes six times the usual.
 const PATIENCE: f64 = 1.8;
-/// The same when callers' packets have begun to reach other instances meanwhile: the answer has probably passed there.
-const PATIENCE_MOVED: f64 = 1.5;
 /// Longest of these times.
 const PATIENCE_MAX: Duration = Duration::from_millis(1_500);
 /// Weight of one more sample in a target's mean time: about eight samples decide, a third of a second at 25 a second.
@@ -164,12 +162,10 @@
         self.unreported.remove(&target).unwrap_or(0)
     }
 
-    /// Returns how long a request that a target was given is believed to go on without a sign of it, when callers'
-    /// packets have reached other instances meanwhile or not.
+    /// Returns how long a request that a target was given is believed to go on without a sign of it.
     #[must_use]
-    pub fn patience(&self, now: Timestamp, target: TargetId, moved: bool) -> Duration {
-        let times = if moved { PATIENCE_MOVED } else { PATIENCE };
-        Duration::from_secs_f64(self.usual * times * self.slowness(now, target)).min(PATIENCE_MAX)
+    pub fn patience(&self, now: Timestamp, target: TargetId) -> Duration {
+        Duration::from_secs_f64(self.usual * PATIENCE * self.slowness(now, target)).min(PATIENCE_MAX)
     }
 
     /// Tells whether the other instances should hear of a flow's request: it has become notable, or nobody has said for a
