Failures of long ago do not count; changes of reach are logged

Cause, found in review: an instance's own failed check stayed on record without an end, so that another one's failure much later would have counted with it; and a target that only this instance fails to reach was checked again every 40 ms. Change: failures count for 5 s, the second check follows at once and later ones after 0.3 s, doubling. Each change of reach is a log line with its evidence. Test: a_failure_of_long_ago_does_not_count.

--- a/crates/core/src/direct/reachability.rs
+++ b/crates/core/src/direct/reachability.rs
@@ -14,6 +14,8 @@
 
 use std::time::Duration;
 
+use strum::IntoStaticStr;
+
 use crate::Timestamp;
 use crate::maps::Map;
 use hawthornshift_model::TargetId;
@@ -37,8 +39,8 @@
 const RECHECK_LONGEST: Duration = Duration::from_millis(2_400);
 /// Age up to which a sign of life makes a target fit to be checked beside another one.
 const CONTROL_AGE: Duration = Duration::from_secs(1);
-/// Time for which another instance's failure to reach a target counts.
-const CONFIRMED: Duration = Duration::from_secs(5);
+/// Time for which a failure to reach a target counts, one of its own or another instance's. Both must be of the same trouble.
+const VALID: Duration = Duration::from_secs(5);
 /// Failed checks of its own that an instance needs if there is no other to ask.
 const ALONE: u32 = 2;
 /// Most checks that are under way at once.
@@ -71,7 +73,8 @@
 }
 
 /// Whether a target can be reached.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Reachability {
     /// As far as is known.
     Reachable,
@@ -81,6 +84,17 @@
     Gone,
 }
 
+/// A target that has turned out to be out of reach, or to be reached again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReachChange {
+    /// The target.
+    pub target: TargetId,
+    /// What it is now.
+    pub reachability: Reachability,
+    /// Checks of this instance that had failed in a row.
+    pub failed: u32,
+}
+
 /// What is known of one target.
 #[derive(Clone, Copy, Debug, Default)]
 struct Record {
@@ -89,8 +103,9 @@
     last_sign: Timestamp,
     check_since: Option<Timestamp>,
     next_check: Timestamp,
-    /// Checks in a row that have failed.
+    /// Checks in a row that have failed, and when the last one did.
     failed: u32,
+    failed_at: Timestamp,
     /// When another instance last failed to reach it.
     confirmed: Option<Timestamp>,
     /// Whether another instance has asked for a check.
@@ -102,8 +117,9 @@
 impl Record {
     /// Counts the target as out of reach if there is evidence enough; tells whether that is new.
     fn conclude(&mut self, now: Timestamp, alone: bool) -> bool {
-        let confirmed = self.confirmed.is_some_and(|at| now.saturating_sub(at) < CONFIRMED);
-        let enough = self.failed >= 1 && confirmed || self.failed >= ALONE && alone;
+        let confirmed = self.confirmed.is_some_and(|at| now.saturating_sub(at) < VALID);
+        let failed = if now.saturating_sub(self.failed_at) < VALID { self.failed } else { 0 };
+        let enough = failed >= 1 && confirmed || failed >= ALONE && alone;
         let new = enough && !self.out_of_reach;
         self.out_of_reach |= enough;
         if new {
@@ -119,6 +135,7 @@
     records: Map<TargetId, Record>,
     /// When the latest check began that was accepted.
     accepted: Option<Timestamp>,
+    changes: Vec<ReachChange>,
 }
 
 impl Checks {
@@ -130,7 +147,10 @@
     /// Notes a sign of life of a target.
     pub fn answered(&mut self, now: Timestamp, target: TargetId) {
         if let Some(record) = self.records.get_mut(&target) {
-            let Record { check_since, next_check, .. } = *record;
+            let Record { check_since, next_check, failed, out_of_reach, .. } = *record;
+            if out_of_reach {
+                self.changes.push(ReachChange { target, reachability: Reachability::Reachable, failed });
+            }
             *record = Record { last_sign: now, check_since, next_check, ..Record::default() };
         }
     }
@@ -138,6 +158,10 @@
     /// Notes that another instance has seen a target live.
     pub fn refuted(&mut self, now: Timestamp, target: TargetId) {
         if let Some(record) = self.records.get_mut(&target).filter(|record| !record.gone) {
+            if record.out_of_reach {
+                let failed = record.failed;
+                self.changes.push(ReachChange { target, reachability: Reachability::Reachable, failed });
+            }
             record.failed = 0;
             record.confirmed = None;
             record.out_of_reach = false;
@@ -149,7 +173,16 @@
     pub fn confirmed(&mut self, now: Timestamp, target: TargetId) -> bool {
         let record = self.records.entry(target).or_default();
         record.confirmed = Some(now);
-        record.conclude(now, false)
+        let (new, failed) = (record.conclude(now, false), record.failed);
+        if new {
+            self.changes.push(ReachChange { target, reachability: Reachability::OutOfReach, failed });
+        }
+        new
+    }
+
+    /// Takes what has changed since the last call, for the log.
+    pub fn take_changes(&mut self) -> Vec<ReachChange> {
+        std::mem::take(&mut self.changes)
     }
 
     /// Tells whether another instance has asked for a check of a target that is not over.
@@ -239,16 +272,17 @@
             return Finding::Nothing;
         }
         record.failed += 1;
+        record.failed_at = now;
         if record.conclude(now, alone) {
+            let failed = record.failed;
+            self.changes.push(ReachChange { target, reachability: Reachability::OutOfReach, failed });
             return Finding::OutOfReach;
         }
-        if record.out_of_reach {
-            let doublings = record.failed.saturating_sub(1).min(4);
-            record.next_check = now + (RECHECK_FIRST * 2_u32.pow(doublings)).min(RECHECK_LONGEST);
-            return Finding::StillOutOfReach;
-        }
-        record.next_check = now;
-        Finding::Failed
+        // The second check follows at once; after that others have answered, or cannot be reached either.
+        let doublings = record.failed.saturating_sub(ALONE).min(4);
+        let pause = (RECHECK_FIRST * 2_u32.pow(doublings)).min(RECHECK_LONGEST);
+        record.next_check = if record.failed < ALONE { now } else { now + pause };
+        if record.out_of_reach { Finding::StillOutOfReach } else { Finding::Failed }
     }
 
     /// Notes that a target is known to be gone without a check, as another one has taken its address over; tells whether
@@ -258,6 +292,9 @@
         let new = !record.gone;
         record.gone = true;
         record.out_of_reach = true;
+        if new {
+            self.changes.push(ReachChange { target, reachability: Reachability::Gone, failed: record.failed });
+        }
         new
     }
 
--- a/crates/core/src/direct/steering/mod.rs
+++ b/crates/core/src/direct/steering/mod.rs
@@ -31,6 +31,7 @@
 use crate::direct::placement::ColdBudget;
 use crate::direct::placement::Limit;
 use crate::direct::reachability::Checks;
+use crate::direct::reachability::ReachChange;
 use crate::direct::readiness::Reach;
 use crate::direct::readiness::Readiness;
 use crate::direct::readiness::Refusal;
@@ -257,6 +258,11 @@
         std::mem::take(&mut self.report)
     }
 
+    /// Takes the targets that have turned out to be out of reach, or to be reached again, since the last call.
+    pub fn take_reach_changes(&mut self) -> Vec<ReachChange> {
+        self.checks.take_changes()
+    }
+
     /// Takes the decisions made since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
--- a/crates/core/tests/direct/reachability.rs
+++ b/crates/core/tests/direct/reachability.rs
@@ -84,3 +84,14 @@
     let late = NOW + ms(500);
     assert_eq!(checks.checked(late, SILENT, CheckOutcome::TimedOut, true), Finding::Nothing);
 }
+
+/// An instance failed to reach a target ten seconds ago, in a cut that is over, and has sent it nothing since. Another one
+/// fails now. These are two different troubles, and open flows must not be reset for them.
+#[test]
+fn a_failure_of_long_ago_does_not_count() {
+    let mut checks = under_check();
+    checks.checked(NOW + ms(2), LIVELY, CheckOutcome::Accepted, false);
+    assert_eq!(fail(&mut checks, NOW, false), Finding::Failed);
+    assert!(!checks.confirmed(NOW + Duration::from_secs(10), SILENT));
+    assert_eq!(checks.reachability(SILENT), Reachability::Reachable);
+}
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -401,6 +401,11 @@
         let directory = self.steering.directory();
         let age = self.fleet.duty().age(now);
         let knowledge = Knowledge { revision: directory.revision(), version: directory.version(), age };
+        for change in self.steering.take_reach_changes() {
+            let reachability: &str = change.reachability.into();
+            info!(self.log, "target reachability"; "target" => format!("{:x}", change.target),
+                "is" => reachability, "failed_checks" => change.failed, "revision" => knowledge.revision);
+        }
         for decision in self.steering.take_decisions() {
             self.decision_log.write(now, &decision, knowledge);
         }
