--- a/crates/core/src/direct/directory.rs
+++ b/crates/core/src/direct/directory.rs
@@ -160,8 +160,8 @@
         if !matches!(former.standing, Standing::Missing(_)) {
             return false;
         }
-        let listed = self.targets.values().filter(|target| !matches!(target.standing, Standing::Missing(_)));
-        listed.into_iter().any(|target| target.facts.address == former.facts.address)
+        let mut listed = self.targets.values().filter(|target| !matches!(target.standing, Standing::Missing(_)));
+        listed.any(|target| target.facts.address == former.facts.address)
     }
 
     /// Returns all targets that are known.
--- a/crates/core/src/direct/load_report.rs
+++ b/crates/core/src/direct/load_report.rs
@@ -100,28 +100,20 @@
         if self.len() <= MAX_ENTRIES {
             return vec![self];
         }
-        let started = self.started.chunks(MAX_ENTRIES).map(|part| Self { started: part.to_vec(), ..Self::default() });
-        let ended = self.ended.chunks(MAX_ENTRIES).map(|part| Self { ended: part.to_vec(), ..Self::default() });
-        let given_up =
-            self.given_up.chunks(MAX_ENTRIES).map(|part| Self { given_up: part.to_vec(), ..Self::default() });
-        let failed = self.failed.chunks(MAX_ENTRIES).map(|part| Self { failed: part.to_vec(), ..Self::default() });
-        let avoid = self.avoid.chunks(MAX_ENTRIES).map(|part| Self { avoid: part.to_vec(), ..Self::default() });
-        let unreached =
-            self.unreached.chunks(MAX_ENTRIES).map(|part| Self { unreached: part.to_vec(), ..Self::default() });
-        let confirmed =
-            self.confirmed.chunks(MAX_ENTRIES).map(|part| Self { confirmed: part.to_vec(), ..Self::default() });
-        let alive = self.alive.chunks(MAX_ENTRIES).map(|part| Self { alive: part.to_vec(), ..Self::default() });
-        let returning =
-            self.returning.chunks(MAX_ENTRIES).map(|part| Self { returning: part.to_vec(), ..Self::default() });
-        started
-            .chain(ended)
-            .chain(given_up)
-            .chain(failed)
-            .chain(avoid)
-            .chain(unreached)
-            .chain(confirmed)
-            .chain(alive)
-            .chain(returning)
-            .collect()
+        let mut parts = split(&self.started, |started| Self { started, ..Self::default() });
+        parts.extend(split(&self.ended, |ended| Self { ended, ..Self::default() }));
+        parts.extend(split(&self.given_up, |given_up| Self { given_up, ..Self::default() }));
+        parts.extend(split(&self.failed, |failed| Self { failed, ..Self::default() }));
+        parts.extend(split(&self.avoid, |avoid| Self { avoid, ..Self::default() }));
+        parts.extend(split(&self.unreached, |unreached| Self { unreached, ..Self::default() }));
+        parts.extend(split(&self.confirmed, |confirmed| Self { confirmed, ..Self::default() }));
+        parts.extend(split(&self.alive, |alive| Self { alive, ..Self::default() }));
+        parts.extend(split(&self.returning, |returning| Self { returning, ..Self::default() }));
+        parts
     }
 }
+
+/// Makes a report of each part of a list that fits a datagram.
+fn split<T: Clone>(list: &[T], report: impl Fn(Vec<T>) -> LoadReport) -> Vec<LoadReport> {
+    list.chunks(MAX_ENTRIES).map(|part| report(part.to_vec())).collect()
+}
--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -94,8 +94,8 @@
     type Err = UnknownMechanism;
 
     fn from_str(text: &str) -> Result<Self, UnknownMechanism> {
-        let names = text.split(',').map(str::trim).filter(|name| !name.is_empty());
-        names.into_iter().try_fold(Self::default(), |all, name| {
+        let mut names = text.split(',').map(str::trim).filter(|name| !name.is_empty());
+        names.try_fold(Self::default(), |all, name| {
             let mechanism = name.parse().map_err(|_| UnknownMechanism { name: name.to_owned() })?;
             Ok(all.without(mechanism))
         })
--- a/crates/core/src/direct/outlier.rs
+++ b/crates/core/src/direct/outlier.rs
@@ -36,7 +36,7 @@
 const WATCHED: Duration = Duration::from_secs(5);
 /// Age up to which a sign of life speaks against a suspicion that was just heard of.
 const REFUTES: Duration = Duration::from_millis(100);
-/// Time between two of them: shorter than the silence after which the target may have been restarted.
+/// Time between two such signs that are told: shorter than the silence after which the target may have been restarted.
 const TELL_ALIVE: Duration = Duration::from_millis(300);
 /// Time between two flows that are given to a silent target when no other is left.
 const LAST_RESORT: Duration = Duration::from_millis(250);
