--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -1,18 +1,32 @@
 //! The other instances: who serves, who watches the store, who is told of open work.
 //!
 //! Built on the product's [`Membership`]; what is added is the watch duty and the exchange of news.
+//!
+//! - [`view_sync`] paces the comparison of views.
+//! - [`store_news`] is the way of the store's news from the watcher to all.
+//! - [`change_log`] sums up for the log who has come and gone.
+
+mod change_log;
+mod store_news;
+mod view_sync;
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 
+pub use self::change_log::ChangeLog;
+pub use self::change_log::ChangeSummary;
+use self::store_news::Behind;
+use self::view_sync::MAX_PARTS;
+use self::view_sync::ViewSync;
 use crate::Timestamp;
 use crate::direct::facts::Delta;
 use crate::direct::load_report::LoadReport;
-use crate::direct::message::Announcement;
 use crate::direct::message::Frame;
 use crate::direct::message::Heartbeat;
 use crate::direct::message::Message;
@@ -23,7 +37,9 @@
 use crate::event::ListedInstance;
 use crate::membership::Identity;
 use crate::membership::Membership;
+use crate::membership::PeerView;
 use crate::membership::Signal;
+use crate::membership::ViewDigest;
 use crate::message::MemberState;
 use crate::message::MemberUpdate;
 use crate::message::Sequence;
@@ -50,9 +66,11 @@
 const SUSPICION: Duration = Duration::from_secs(1);
 /// Time for which a view is trusted without word from any peer.
 const LEASE: Duration = Duration::from_millis(900);
-/// Time for which an instance waits for an announcement when a heartbeat shows that it is behind. The watcher tells all
-/// others at once, so in nearly all cases it arrives within milliseconds.
-const BEHIND_PATIENCE: Duration = Duration::from_millis(200);
+/// Shortest time between two changes of the instances that are told to the rest of the process. A whole fleet that starts
+/// brings hundreds of changes, each of which would else be worked through by all that depend on who serves.
+const CHANGE_PERIOD: Duration = Duration::from_millis(50);
+/// Members that hear from an instance that it ends; heartbeats tell the others.
+const MAX_LAST_WORDS: usize = 32;
 /// Informed instances that are remembered: enough that those which start together do not all ask the same few.
 const MAX_INFORMED: usize = 16;
 /// Key by which instances are ranked for the watch duty.
@@ -70,7 +88,7 @@
     /// Fetch everything newer than what is known from an instance.
     Pull(SocketAddr),
     /// Take over news of the store.
-    Learn(Delta),
+    Learn(Arc<Delta>),
     /// Take over a load report.
     Receive(LoadReport),
     /// The instances that serve have changed.
@@ -90,18 +108,14 @@
     heard_elsewhere: Option<Timestamp>,
     /// Instances that know what the store says, as they have said of late, the latest last.
     informed: VecDeque<SocketAddr>,
-    /// The latest revision that a heartbeat told of and that is not known here, if there is one.
+    /// The latest revision that a peer told of and that is not known here, if there is one.
     behind: Option<Behind>,
-}
-
-/// News that another instance has and this one lacks.
-#[derive(Clone, Copy, Debug)]
-struct Behind {
-    revision: Revision,
-    /// Who has it.
-    from: SocketAddr,
-    /// When it is asked for.
-    ask_at: Timestamp,
+    view_sync: ViewSync,
+    /// Whether the instances have changed since the rest of the process was told.
+    changed: bool,
+    next_change: Timestamp,
+    /// Until when nothing is passed on, since the process stood still and what it reads may be old.
+    no_relay_until: Timestamp,
 }
 
 impl Fleet {
@@ -123,6 +137,10 @@
             heard_elsewhere: None,
             informed: VecDeque::new(),
             behind: None,
+            view_sync: ViewSync::default(),
+            changed: false,
+            next_change: now,
+            no_relay_until: Timestamp::ZERO,
         }
     }
 
@@ -216,9 +234,25 @@
     /// Returns the last word to all members before the process ends.
     pub fn depart(&mut self) -> Vec<FleetEffect> {
         self.membership.depart();
-        let serving = self.count();
-        let last = Heartbeat { sequence: 0, serving, revision: 0, members: Vec::new() };
-        self.to_everybody(Message::Ack(last))
+        let (serving, view) = (self.count(), self.membership.digest().whole());
+        let last = Heartbeat { sequence: 0, serving, view, revision: 0, age: Duration::ZERO, members: Vec::new() };
+        let members = self.membership.reachable().map(|member| member.control);
+        let addresses = members.choose_multiple(&mut self.rng, MAX_LAST_WORDS);
+        if addresses.is_empty() { Vec::new() } else { vec![self.frame_for(addresses, Message::Ack(last))] }
+    }
+
+    /// Takes over the members that a peer has handed over to this instance when it started.
+    pub fn adopt(&mut self, now: Timestamp, members: &[MemberUpdate]) -> Vec<FleetEffect> {
+        for update in members {
+            self.membership.absorb(now, update);
+        }
+        self.changes(now).into_iter().collect()
+    }
+
+    /// Returns the other instances for one that has just started.
+    #[must_use]
+    pub fn handover(&self) -> Vec<MemberUpdate> {
+        self.membership.handover()
     }
 
     /// Takes in a datagram.
@@ -236,7 +270,7 @@
         }
         self.membership.heard_from(now, &sender);
         let mut effects = self.message(now, &sender, message, revision);
-        effects.extend(self.changes());
+        effects.extend(self.changes(now));
         effects
     }
 
@@ -250,81 +284,107 @@
         let from = sender.id;
         match message {
             Message::Ping(heartbeat) => {
-                let differs = self.absorb(now, sender, &heartbeat, revision);
-                let answer = self.heartbeat(from, heartbeat.sequence, revision, differs);
-                self.to(from, Message::Ack(answer)).into_iter().collect()
+                let view = self.absorb(now, sender, &heartbeat, revision);
+                let answer = self.heartbeat(now, from, heartbeat.sequence, revision, view);
+                let answer = self.to(from, Message::Ack(answer));
+                answer.into_iter().chain(self.compare_views(now, from, &heartbeat, view)).collect()
             }
             Message::Ack(heartbeat) => {
-                self.absorb(now, sender, &heartbeat, revision);
+                let view = self.absorb(now, sender, &heartbeat, revision);
                 let signal = self.membership.acknowledged(now, heartbeat.sequence, from);
-                signal.into_iter().filter_map(|signal| self.signal(signal, revision)).collect()
+                let signal = signal.and_then(|signal| self.signal(now, signal, revision));
+                signal.into_iter().chain(self.compare_views(now, from, &heartbeat, view)).collect()
+            }
+            Message::ViewRequest(theirs) => self.answer_view_request(now, from, &theirs),
+            Message::ViewPart(members) => {
+                self.absorb_view(now, &members);
+                Vec::new()
             }
             Message::IndirectPing { sequence, subject } => {
-                let signal = self.membership.ping_for(now, subject, from, sequence);
-                signal.into_iter().filter_map(|signal| self.signal(signal, revision)).collect()
+                self.membership.absorb(now, &subject);
+                let signal = self.membership.ping_for(now, subject.id, from, sequence);
+                signal.into_iter().filter_map(|signal| self.signal(now, signal, revision)).collect()
             }
             Message::IndirectAck { sequence, subject } => {
                 self.membership.acknowledged_indirectly(now, sequence, subject);
                 Vec::new()
             }
-            Message::Announcement(announcement) => self.announced(now, sender, announcement, revision),
-            Message::Push(announcement, delta) => {
-                let reached = if delta.since <= revision { revision.max(delta.revision) } else { revision };
-                let mut effects = vec![FleetEffect::Learn(delta)];
-                effects.extend(self.announced(now, sender, announcement, reached));
-                effects
-            }
+            Message::StoreNews(news) => self.store_news(now, sender, &news, revision),
+        }
+    }
+
+    /// Takes over what a heartbeat brings, and tells how its sender's view compares to the one here.
+    fn absorb(&mut self, now: Timestamp, sender: &MemberUpdate, heartbeat: &Heartbeat, revision: Revision) -> PeerView {
+        for update in &heartbeat.members {
+            self.membership.absorb(now, update);
+        }
+        if heartbeat.revision > 0 {
+            self.note_informed(sender.control);
+            self.duty.hear_of(now, heartbeat.age);
         }
+        self.note_behind(now, heartbeat.revision, sender.control, revision);
+        if heartbeat.view == self.membership.digest().whole() { PeerView::Same } else { PeerView::Differs }
     }
 
-    fn announced(
+    /// Asks a peer whose view differs for what is unknown here, if it is time to.
+    fn compare_views(
         &mut self,
         now: Timestamp,
-        sender: &MemberUpdate,
-        announcement: Announcement,
-        revision: Revision,
-    ) -> Vec<FleetEffect> {
-        let before = rank_key(sender.id) > rank_key(self.membership.me().id);
-        let duty = self.duty.hear(now, sender.id, &announcement, before).map(FleetEffect::Duty);
-        self.note_informed(sender.control);
-        let behind = announcement.revision > revision;
-        let news = if behind { FleetEffect::Pull(sender.control) } else { FleetEffect::Confirmed };
-        duty.into_iter().chain([news]).collect()
+        from: InstanceId,
+        heartbeat: &Heartbeat,
+        view: PeerView,
+    ) -> Option<FleetEffect> {
+        let ours = self.count();
+        let asks = self.view_sync.asks_sender(now, view, heartbeat.serving, ours);
+        asks.then(|| self.view_request(from)).flatten()
     }
 
-    fn absorb(&mut self, now: Timestamp, sender: &MemberUpdate, heartbeat: &Heartbeat, revision: Revision) -> bool {
-        for update in &heartbeat.members {
+    fn view_request(&self, to: InstanceId) -> Option<FleetEffect> {
+        self.to(to, Message::ViewRequest(self.membership.digest()))
+    }
+
+    /// Asks any member for what is unknown here, while a whole fleet is getting to know itself.
+    fn ask_for_view(&mut self, now: Timestamp) -> Option<FleetEffect> {
+        if !self.view_sync.asks_anybody(now) {
+            return None;
+        }
+        let to = self.membership.reachable().map(|member| member.id).choose(&mut self.rng)?;
+        self.view_request(to)
+    }
+
+    fn absorb_view(&mut self, now: Timestamp, members: &[MemberUpdate]) {
+        let before = self.membership.digest();
+        for update in members {
             self.membership.absorb(now, update);
         }
-        if heartbeat.revision > 0 {
-            self.note_informed(sender.control);
+        if self.membership.digest() != before {
+            self.view_sync.gained();
         }
-        if heartbeat.revision > self.behind.map_or(revision, |behind| behind.revision.max(revision)) {
-            let ask_at = self.behind.map_or(now + BEHIND_PATIENCE, |behind| behind.ask_at);
-            self.behind = Some(Behind { revision: heartbeat.revision, from: sender.control, ask_at });
+    }
+
+    fn answer_view_request(&mut self, now: Timestamp, from: InstanceId, theirs: &ViewDigest) -> Vec<FleetEffect> {
+        if !self.view_sync.answers(now) {
+            return Vec::new();
         }
-        heartbeat.serving != self.count()
+        let parts = self.membership.missing(&mut self.rng, theirs, MAX_PARTS);
+        parts.into_iter().filter_map(|part| self.to(from, Message::ViewPart(part))).collect()
     }
 
     fn count(&self) -> u32 {
         u32::try_from(self.membership.serving().count()).unwrap_or(u32::MAX)
     }
 
-    fn heartbeat(&mut self, to: InstanceId, sequence: Sequence, revision: Revision, differs: bool) -> Heartbeat {
-        let serving = self.count();
-        let members = self.membership.news(&mut self.rng, to, differs);
-        Heartbeat { sequence, serving, revision, members }
-    }
-
-    /// Asks for news that a heartbeat told of and no announcement has brought.
-    ///
-    /// The watcher may take this instance for dead and tell it nothing, or its datagrams may be lost; without this,
-    /// targets that leave would get new flows for as long as that lasts.
-    fn catch_up(&mut self, now: Timestamp, revision: Revision) -> Option<FleetEffect> {
-        self.behind = self.behind.filter(|behind| behind.revision > revision);
-        let behind = self.behind.as_mut().filter(|behind| now >= behind.ask_at)?;
-        behind.ask_at = now + BEHIND_PATIENCE;
-        Some(FleetEffect::Pull(behind.from))
+    fn heartbeat(
+        &mut self,
+        now: Timestamp,
+        to: InstanceId,
+        sequence: Sequence,
+        revision: Revision,
+        view: PeerView,
+    ) -> Heartbeat {
+        let members = self.membership.news(to, view);
+        let (serving, view) = (self.count(), self.membership.digest().whole());
+        Heartbeat { sequence, serving, view, revision, age: self.duty.age(now), members }
     }
 
     fn to(&self, to: InstanceId, message: Message) -> Option<FleetEffect> {
@@ -336,25 +396,33 @@
         FleetEffect::Send(addresses, Frame::Introduced { sender: self.membership.me().clone(), message })
     }
 
-    fn signal(&mut self, signal: Signal, revision: Revision) -> Option<FleetEffect> {
+    fn signal(&mut self, now: Timestamp, signal: Signal, revision: Revision) -> Option<FleetEffect> {
         match signal {
             Signal::Ping { to, sequence } => {
-                let beat = self.heartbeat(to, sequence, revision, false);
+                let beat = self.heartbeat(now, to, sequence, revision, PeerView::Unknown);
                 self.to(to, Message::Ping(beat))
             }
-            Signal::IndirectPing { to, sequence, subject } => self.to(to, Message::IndirectPing { sequence, subject }),
+            Signal::IndirectPing { to, sequence, subject } => {
+                let subject = self.membership.member(subject)?.clone();
+                self.to(to, Message::IndirectPing { sequence, subject })
+            }
             Signal::IndirectAck { to, sequence, subject } => self.to(to, Message::IndirectAck { sequence, subject }),
         }
     }
 
-    fn changes(&mut self) -> Option<FleetEffect> {
-        let changed = !self.membership.take_changes().is_empty();
+    fn changes(&mut self, now: Timestamp) -> Option<FleetEffect> {
+        self.changed |= !self.membership.take_changes().is_empty();
         if self.membership.superseded() {
             self.membership.outlive();
         }
         // Nothing here is void because others counted this instance as dead for a while.
         let _ = self.membership.take_buried();
-        changed.then_some(FleetEffect::Changed)
+        if !self.changed || now < self.next_change {
+            return None;
+        }
+        self.changed = false;
+        self.next_change = now + CHANGE_PERIOD;
+        Some(FleetEffect::Changed)
     }
 
     /// Does what is due: heartbeats, the watch duty, announcements.
@@ -363,32 +431,20 @@
         if !self.contact && now >= self.next_seed_ping {
             self.next_seed_ping = now + SEED_PERIOD;
             let signals = self.membership.refresh(now, &mut self.rng, MAX_SEEDS);
-            effects.extend(signals.into_iter().filter_map(|signal| self.signal(signal, revision)));
+            effects.extend(signals.into_iter().filter_map(|signal| self.signal(now, signal, revision)));
         }
         let signals = self.membership.tick(now, &mut self.rng);
-        effects.extend(signals.into_iter().filter_map(|signal| self.signal(signal, revision)));
+        effects.extend(signals.into_iter().filter_map(|signal| self.signal(now, signal, revision)));
         effects.extend(self.catch_up(now, revision));
+        effects.extend(self.ask_for_view(now));
         effects.extend(self.duty.tick(now, self.rank()).map(FleetEffect::Duty));
         if let Some(announcement) = self.duty.announcement(now, revision) {
-            effects.extend(self.to_everybody(Message::Announcement(announcement)));
+            effects.extend(self.tell_everybody(announcement, revision, None));
         }
-        effects.extend(self.changes());
+        effects.extend(self.changes(now));
         effects
     }
 
-    /// Returns the messages that tell everybody what the store has just said.
-    pub fn push(&mut self, now: Timestamp, revision: Revision, delta: &Delta) -> Vec<FleetEffect> {
-        self.duty.hasten(now);
-        let Some(announcement) = self.duty.announcement(now, revision) else { return Vec::new() };
-        self.to_everybody(Message::Push(announcement, delta.clone()))
-    }
-
-    fn to_everybody(&self, message: Message) -> Vec<FleetEffect> {
-        let members = self.membership.members().filter(|member| member.state.is_reachable());
-        let addresses: Vec<SocketAddr> = members.map(|member| member.control).collect();
-        if addresses.is_empty() { Vec::new() } else { vec![self.frame_for(addresses, message)] }
-    }
-
     /// Returns how many instances that serve go before this one for the watch duty.
     #[must_use]
     pub fn rank(&self) -> u32 {
--- a/crates/core/src/direct/message.rs
+++ b/crates/core/src/direct/message.rs
@@ -1,5 +1,6 @@
 //! What instances say to each other on the direct path.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -8,12 +9,16 @@
 use crate::direct::facts::Delta;
 use crate::direct::load_report::LoadReport;
 use crate::direct::segment::FlowHash;
+use crate::membership::ViewDigest;
 use crate::message::MemberUpdate;
 use crate::message::Sequence;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::Revision;
 use hawthornshift_model::TargetId;
 
+/// Most bytes of a datagram: below what Ethernet carries whole.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+
 /// A datagram between instances.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -41,8 +46,8 @@
     IndirectPing {
         /// The asker's number for this try.
         sequence: Sequence,
-        /// The instance that did not answer.
-        subject: InstanceId,
+        /// The instance that did not answer, which the third one may not know yet.
+        subject: MemberUpdate,
     },
     /// Says that the instance asked about has answered.
     IndirectAck {
@@ -51,10 +56,29 @@
         /// The instance that has answered.
         subject: InstanceId,
     },
-    /// Says how far the sender, which watches the store, has read it.
-    Announcement(Announcement),
-    /// Brings what has just changed in the store, with the announcement that would else go alone.
-    Push(Announcement, Delta),
+    /// Sums up the sender's view of who lives, for a peer whose view differs.
+    ViewRequest(ViewDigest),
+    /// Answers that with a part of what the sender knows where the views differ.
+    ViewPart(Vec<MemberUpdate>),
+    /// Says how far the store has been read, and perhaps what has just changed in it.
+    StoreNews(StoreNews),
+}
+
+/// What an instance that watches the store tells all others, by way of a few that pass it on.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreNews {
+    /// The instance that watches, when another one passes its news on; `None` when it is the sender.
+    pub watcher: Option<MemberUpdate>,
+    /// How far it has read the store.
+    pub announcement: Announcement,
+    /// What has just changed in the store, when that is why it tells.
+    pub delta: Option<Arc<Delta>>,
+    /// The revision that the sender itself knows everything up to; below that of the announcement when it passes on what it
+    /// has not yet got.
+    pub holds: Revision,
+    /// The instances to pass it on to.
+    pub relay_to: Vec<InstanceId>,
 }
 
 /// A sign of life with news of members.
@@ -63,10 +87,14 @@
 pub struct Heartbeat {
     /// Number of the ping.
     pub sequence: Sequence,
-    /// How many members the sender believes to serve: a peer that counts others tells more.
+    /// How many members the sender believes to serve.
     pub serving: u32,
+    /// Hash of the sender's view of who lives; a peer whose own differs asks for more.
+    pub view: u64,
     /// The revision that the sender knows everything of the store up to; zero when it knows nothing or is about to end.
     pub revision: Revision,
+    /// Time since the sender last had fresh word of the store, its own or a watcher's.
+    pub age: Duration,
     /// News of members.
     pub members: Vec<MemberUpdate>,
 }
@@ -93,4 +121,6 @@
     pub work: Vec<(FlowHash, TargetId, Duration)>,
     /// Targets that seem not to answer, and for how much longer to avoid each.
     pub avoid: Vec<(TargetId, Duration)>,
+    /// The other instances.
+    pub members: Vec<MemberUpdate>,
 }
--- a/crates/core/src/direct/steering/mod.rs
+++ b/crates/core/src/direct/steering/mod.rs
@@ -355,7 +355,8 @@
         if since > 0 {
             return Handover { delta, ..Handover::default() };
         }
-        Handover { delta, work: self.work.open(now).collect(), avoid: self.outliers.avoided(now).collect() }
+        let (work, avoid) = (self.work.open(now).collect(), self.outliers.avoided(now).collect());
+        Handover { delta, work, avoid, members: Vec::new() }
     }
 
     /// Takes over what a peer has handed over; tells whether the store's part brought anything new.
--- a/crates/core/src/direct/watch.rs
+++ b/crates/core/src/direct/watch.rs
@@ -47,13 +47,23 @@
     answered: Option<Timestamp>,
     next_announcement: Timestamp,
     leaving: bool,
+    /// Until when the word of others about a watcher counts for nothing: the one that they mean has just said that it leaves.
+    no_hearsay_until: Timestamp,
 }
 
 impl WatchDuty {
     /// Starts at a time, not watching.
     #[must_use]
     pub fn new(now: Timestamp) -> Self {
-        Self { watching: false, heard: now, watcher: None, answered: None, next_announcement: now, leaving: false }
+        Self {
+            watching: false,
+            heard: now,
+            watcher: None,
+            answered: None,
+            next_announcement: now,
+            leaving: false,
+            no_hearsay_until: Timestamp::ZERO,
+        }
     }
 
     /// Tells whether this instance watches.
@@ -102,6 +112,7 @@
             if self.watcher == Some(from) {
                 self.watcher = None;
                 self.heard = self.heard.min(now.saturating_sub(SILENCE));
+                self.no_hearsay_until = now + SILENCE;
             }
             return None;
         }
@@ -115,6 +126,16 @@
         None
     }
 
+    /// Takes in from a heartbeat how long ago its sender last had fresh word of the store.
+    ///
+    /// Announcements are passed on, and one that should pass them on may hang. Without this, those who miss a few in a row
+    /// would begin to watch although everybody around them hears a watcher.
+    pub fn hear_of(&mut self, now: Timestamp, age: Duration) {
+        if now >= self.no_hearsay_until {
+            self.heard = self.heard.max(now.saturating_sub(age));
+        }
+    }
+
     /// Begins to watch if nobody who ranks before seems to.
     pub fn tick(&mut self, now: Timestamp, rank: u32) -> Option<Duty> {
         if self.watching || self.leaving {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -6,18 +6,22 @@
 //! view. Only then is it suspected, and only when the suspicion time passes without it refuting that does it count as
 //! dead. News rides on heartbeats.
 //!
+//! - [`failure_detector`] pings, suspects and buries.
+//! - [`dissemination`] passes news on, a piece at a time on heartbeats.
+//! - [`anti_entropy`] compares whole views and brings what a peer lacks.
+//!
 //! A life is told by its incarnation: a restart under the same id and address has a higher one, and everything said
 //! of the former life is void. Within a life only the instance itself raises its version, to refute.
 
+mod anti_entropy;
+mod dissemination;
+mod failure_detector;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
-
-use rand::Rng;
-use rand::rngs::SmallRng;
-use rand::seq::IteratorRandom;
-use rand::seq::SliceRandom;
 
+pub use self::anti_entropy::ViewDigest;
+pub use self::dissemination::PeerView;
 use crate::Timestamp;
 use crate::event::InstanceList;
 use crate::event::ListedInstance;
@@ -29,17 +33,6 @@
 use hawthornshift_model::Incarnation;
 use hawthornshift_model::InstanceId;
 
-/// How often each piece of news is passed on, beyond the logarithm of the fleet's size.
-const EXTRA_SENDS: u32 = 2;
-/// Most pieces of news on one heartbeat.
-const MAX_NEWS: usize = 6;
-/// Most members on one heartbeat to a peer whose view differs; one that joins has to hear of everybody.
-const MAX_CATCH_UP: usize = 16;
-/// Instances asked to ping one that does not answer.
-const INDIRECT_PINGS: usize = 2;
-/// Time after which an instance that is dead and that the platform no longer lists is forgotten.
-const FORGET_DEAD: Duration = Duration::from_mins(1);
-
 /// Who this process is; from its settings.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Identity {
@@ -325,191 +318,4 @@
             self.buried |= update.state == MemberState::Dead;
         }
     }
-
-    fn sends(&self) -> u32 {
-        let fleet = u32::try_from(self.members.len() + 1).unwrap_or(u32::MAX);
-        fleet.ilog2() + EXTRA_SENDS
-    }
-
-    /// Returns the news that the next heartbeat to `to` carries; all of it in turn when that peer's view differs.
-    ///
-    /// What is believed of the peer itself goes first unless it is that it lives. Only the peer can refute, and it has
-    /// to hear of a suspicion well before the suspicion time is over; by chance it would hear too late now and then,
-    /// and an instance that works would be buried.
-    pub fn news(&mut self, rng: &mut SmallRng, to: InstanceId, differs: bool) -> Vec<MemberUpdate> {
-        let believed = self.member(to).filter(|update| update.state > MemberState::Alive);
-        let mut news: Vec<MemberUpdate> = believed.cloned().into_iter().collect();
-        for member in self.members.values_mut().filter(|member| member.sends_left > 0).take(MAX_NEWS) {
-            member.sends_left -= 1;
-            news.push(member.update.clone());
-        }
-        if differs {
-            let known = self.members.values().filter(|member| member.update.state != MemberState::Listed);
-            let more = known.map(|member| &member.update).filter(|update| !news.contains(update));
-            let more = more.choose_multiple(rng, MAX_CATCH_UP.saturating_sub(news.len()));
-            let more: Vec<_> = more.into_iter().cloned().collect();
-            news.extend(more);
-        }
-        news
-    }
-
-    /// Does what is due: pings, suspicions, deaths, forgetting.
-    pub fn tick(&mut self, now: Timestamp, rng: &mut SmallRng) -> Vec<Signal> {
-        let mut signals = self.give_up_probes(now, rng);
-        self.bury(now);
-        if now >= self.next_ping {
-            let jitter = self.tuning.ping_period.mul_f64(rng.random_range(0.0..0.2));
-            self.next_ping = now + self.tuning.ping_period.mul_f64(0.9) + jitter;
-            let subjects = self.next_subjects(rng);
-            signals.extend(subjects.into_iter().map(|subject| self.ping(now, subject, None)));
-        }
-        signals
-    }
-
-    /// Pings several instances at once, to refresh a view that may be old.
-    pub fn refresh(&mut self, now: Timestamp, rng: &mut SmallRng, count: usize) -> Vec<Signal> {
-        let candidates = self.members().filter(|update| update.state != MemberState::Dead);
-        let subjects = candidates.map(|update| update.id).choose_multiple(rng, count);
-        subjects.into_iter().map(|subject| self.ping(now, subject, None)).collect()
-    }
-
-    /// Returns the number that the next ping will have.
-    #[must_use]
-    pub fn next_sequence(&self) -> Sequence {
-        self.next_sequence
-    }
-
-    fn ping(&mut self, now: Timestamp, subject: InstanceId, on_behalf: Option<(InstanceId, Sequence)>) -> Signal {
-        let sequence = self.next_sequence;
-        self.next_sequence += 1;
-        self.probes.insert(sequence, Probe { subject, sent: now, indirect: false, on_behalf });
-        Signal::Ping { to: subject, sequence }
-    }
-
-    fn next_subjects(&mut self, rng: &mut SmallRng) -> Vec<InstanceId> {
-        let mut subjects = Vec::new();
-        while let Some(subject) = self.round.pop() {
-            if self.members.get(&subject).is_some_and(|member| member.update.state != MemberState::Dead) {
-                subjects.push(subject);
-                break;
-            }
-        }
-        if self.round.is_empty() {
-            self.round = self.members.keys().copied().collect();
-            self.round.shuffle(rng);
-        }
-        // One that counts as dead is asked too, or the two sides of a healed partition would never find each other.
-        let dead = self.members.values().filter(|member| member.update.state == MemberState::Dead);
-        subjects.extend(dead.map(|member| member.update.id).choose(rng));
-        subjects
-    }
-
-    /// Tries silent pings through others, then suspects their subjects.
-    fn give_up_probes(&mut self, now: Timestamp, rng: &mut SmallRng) -> Vec<Signal> {
-        let mut signals = Vec::new();
-        let late = |probe: &Probe, limit: Duration| now.saturating_sub(probe.sent) >= limit;
-        let timeout = self.tuning.ping_timeout;
-        let overdue: Vec<Sequence> =
-            self.probes.iter().filter(|(_, probe)| late(probe, timeout)).map(|(sequence, _)| *sequence).collect();
-        for sequence in overdue {
-            let Some(probe) = self.probes.get_mut(&sequence) else { continue };
-            if !probe.indirect && probe.on_behalf.is_none() {
-                probe.indirect = true;
-                let subject = probe.subject;
-                signals.extend(self.ask_others(sequence, subject, rng));
-            } else if late(probe, timeout * 2) {
-                let probe = self.probes.remove(&sequence);
-                if let Some(probe) = probe.filter(|probe| probe.on_behalf.is_none()) {
-                    self.suspect(now, probe.subject);
-                }
-            }
-        }
-        signals
-    }
-
-    fn ask_others(&self, sequence: Sequence, subject: InstanceId, rng: &mut SmallRng) -> Vec<Signal> {
-        let others = self.reachable().filter(|update| update.id != subject).map(|update| update.id);
-        let others = others.choose_multiple(rng, INDIRECT_PINGS);
-        others.into_iter().map(|to| Signal::IndirectPing { to, sequence, subject }).collect()
-    }
-
-    fn suspect(&mut self, now: Timestamp, subject: InstanceId) {
-        let sends = self.sends();
-        let Some(member) = self.members.get_mut(&subject) else { return };
-        // One that is leaving serves nothing any more, so nothing is lost by counting it as dead at once.
-        let state = match member.update.state {
-            MemberState::Alive => MemberState::Suspect,
-            MemberState::Leaving => MemberState::Dead,
-            _ => return,
-        };
-        member.update.state = state;
-        member.since = now;
-        member.sends_left = sends;
-        self.changes.push((subject, state));
-    }
-
-    /// Counts as dead what was suspected for long enough, and forgets what has long been dead.
-    fn bury(&mut self, now: Timestamp) {
-        let sends = self.sends();
-        let suspicion = self.tuning.suspicion;
-        for member in self.members.values_mut() {
-            let overdue = now.saturating_sub(member.since) >= suspicion;
-            if member.update.state == MemberState::Suspect && overdue {
-                member.update.state = MemberState::Dead;
-                member.since = now;
-                member.sends_left = sends;
-                self.changes.push((member.update.id, MemberState::Dead));
-            }
-        }
-        let gone = |member: &Member| {
-            let dead = matches!(member.update.state, MemberState::Dead | MemberState::Listed);
-            dead && !member.listed && now.saturating_sub(member.since) >= FORGET_DEAD
-        };
-        self.members.retain(|_, member| !gone(member));
-    }
-
-    /// Notes that an instance could not be reached at all, which needs no waiting for a timeout.
-    pub fn unreachable(&mut self, now: Timestamp, subject: InstanceId) {
-        for probe in self.probes.values_mut().filter(|probe| probe.subject == subject && !probe.indirect) {
-            probe.sent = now.saturating_sub(self.tuning.ping_timeout);
-        }
-    }
-
-    /// Notes the answer to a ping and returns word to the one it was sent for.
-    pub fn acknowledged(&mut self, now: Timestamp, sequence: Sequence, from: InstanceId) -> Option<Signal> {
-        let probe = self.probes.get(&sequence).filter(|probe| probe.subject == from)?;
-        let on_behalf = probe.on_behalf;
-        self.probes.remove(&sequence);
-        self.settle(now, from);
-        on_behalf.map(|(to, sequence)| Signal::IndirectAck { to, sequence, subject: from })
-    }
-
-    /// Notes word from a third instance that one has answered.
-    pub fn acknowledged_indirectly(&mut self, now: Timestamp, sequence: Sequence, subject: InstanceId) {
-        if self.probes.get(&sequence).is_some_and(|probe| probe.subject == subject) {
-            self.probes.remove(&sequence);
-            self.settle(now, subject);
-        }
-    }
-
-    /// Restarts the suspicion time of an instance that has just answered: it will refute the rumour itself.
-    fn settle(&mut self, now: Timestamp, subject: InstanceId) {
-        if let Some(member) = self.members.get_mut(&subject)
-            && member.update.state == MemberState::Suspect
-        {
-            member.since = now;
-            member.sends_left = member.sends_left.max(1);
-        }
-    }
-
-    /// Pings an instance for another that got no answer.
-    pub fn ping_for(
-        &mut self,
-        now: Timestamp,
-        subject: InstanceId,
-        asker: InstanceId,
-        sequence: Sequence,
-    ) -> Option<Signal> {
-        self.members.contains_key(&subject).then(|| self.ping(now, subject, Some((asker, sequence))))
-    }
 }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -154,6 +154,15 @@
     pub fn rank(&self) -> (Incarnation, u32, MemberState) {
         (self.incarnation, self.version, self.state)
     }
+
+    /// Returns the most bytes that the update takes in a datagram.
+    #[must_use]
+    pub fn encoded_bound(&self) -> usize {
+        /// Numbers and lengths in the variable form: id, incarnation, version, state, length of the name.
+        const NUMBERS: usize = 5 + 10 + 5 + 1 + 2;
+        let address = |address: &SocketAddr| if address.is_ipv4() { 8 } else { 20 };
+        NUMBERS + self.failure_domain.len() + address(&self.control) + address(&self.forward)
+    }
 }
 
 /// Whether an instance lives; a later one holds over an earlier one of the same version.
--- a/crates/core/src/node/messages.rs
+++ b/crates/core/src/node/messages.rs
@@ -8,6 +8,7 @@
 use crate::event::Notice;
 use crate::event::Output;
 use crate::flows::Superseded;
+use crate::membership::PeerView;
 use crate::membership::Signal;
 use crate::message::Envelope;
 use crate::message::FlowBatch;
@@ -109,12 +110,16 @@
             .membership
             .member(to)
             .is_some_and(|update| update.failure_domain == self.membership.me().failure_domain);
+        let mut members = self.membership.news(to, if differs { PeerView::Differs } else { PeerView::Unknown });
+        if differs {
+            self.membership.add_catch_up(&mut self.rng, &mut members);
+        }
         Heartbeat {
             sequence,
             revision: self.configuration.revision(),
             set_digest: self.configuration.catalog().digest(),
             view: self.view.digest(),
-            members: self.membership.news(&mut self.rng, to, differs),
+            members,
             targets: if near { self.keeper.news(false) } else { Vec::new() },
         }
     }
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -1,13 +1,16 @@
 //! The direct path in virtual time.
 #![allow(dead_code, unreachable_pub, reason = "each test module uses its own part of the harness")]
 
+mod convergence;
 mod directory;
 mod fleet;
 mod load;
 mod mechanisms;
+mod members;
 mod reachability;
 mod readiness;
 mod routes;
 mod rules;
 mod starting;
+mod store_news;
 mod watching;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -11,14 +11,17 @@
 
 use hawthornshift_adapters::http_client::Call;
 use hawthornshift_adapters::http_client::ExchangeError;
+use hawthornshift_core::direct::facts::Delta;
 use hawthornshift_core::direct::message::Frame;
 use hawthornshift_core::direct::message::Handover;
+use hawthornshift_core::direct::message::MAX_DATAGRAM_BYTES;
 use hawthornshift_model::Revision;
 
 /// Version of the messages; others are dropped, so that a rolling upgrade never misreads one.
-const VERSION: u8 = 5;
-/// Most bytes of a datagram: below what Ethernet carries whole. Larger news is pulled over HTTP.
-pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+const VERSION: u8 = 6;
+/// Most bytes of news that is pushed: it fits a datagram with its introductions and those to whom it is passed on. Larger
+/// news is announced and pulled.
+const MAX_PUSH_BYTES: usize = 1_100;
 /// Most bytes of a handover: 4,800 targets of 100 bytes and 5,000 routes of 60, twice over.
 const MAX_HANDOVER_BYTES: usize = 2 << 20;
 /// Path of the handover.
@@ -127,6 +130,12 @@
     }
 }
 
+/// Tells whether news is small enough to be pushed.
+#[must_use]
+pub fn fits_push(delta: &Delta) -> bool {
+    postcard::experimental::serialized_size(delta).is_ok_and(|bytes| bytes <= MAX_PUSH_BYTES)
+}
+
 fn decode(datagram: &[u8]) -> Option<Frame> {
     let (version, rest) = datagram.split_first()?;
     (*version == VERSION).then(|| postcard::from_bytes(rest).ok()).flatten()
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -3,6 +3,7 @@
 mod news;
 
 use std::io;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -44,11 +45,13 @@
 use crate::store_reader;
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::fleet;
+use hawthornshift_core::direct::fleet::ChangeLog;
 use hawthornshift_core::direct::fleet::Fleet;
 use hawthornshift_core::direct::fleet::FleetEffect;
 use hawthornshift_core::direct::mechanisms::Mechanism;
 use hawthornshift_core::direct::message::Frame;
 use hawthornshift_core::direct::message::Message;
+use hawthornshift_core::direct::message::StoreNews;
 use hawthornshift_core::direct::readiness::Readiness;
 use hawthornshift_core::direct::standstill::Standstill;
 use hawthornshift_core::direct::starting::Starting;
@@ -57,6 +60,7 @@
 use hawthornshift_core::direct::steering::SteeringConfig;
 use hawthornshift_core::direct::stopping::Stopping;
 use hawthornshift_core::membership::Identity;
+use hawthornshift_model::InstanceId;
 use hawthornshift_platform::store::StoreClient;
 
 /// Packets read in one turn before timers and messages have theirs.
@@ -65,6 +69,8 @@
 const FLEET_PERIOD: Duration = Duration::from_millis(50);
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
+/// Most instances that one log line names of those which came or went.
+const MAX_NAMES: usize = 8;
 /// Part of the evacuation bound after which nothing is sent any more to a failure domain that is taken out.
 const EVACUATION_PART: f64 = 0.8;
 
@@ -91,6 +97,7 @@
     pulling: bool,
     store_lost: bool,
     starting: Starting,
+    changes: ChangeLog,
     next_fleet: Timestamp,
     next_settings: Timestamp,
     effects: Vec<Effect>,
@@ -152,6 +159,7 @@
             pulling: false,
             store_lost: false,
             starting,
+            changes: ChangeLog::default(),
             next_fleet: Timestamp::ZERO,
             next_settings: SETTINGS_PERIOD,
             effects: Vec::new(),
@@ -282,6 +290,14 @@
         }
     }
 
+    /// Writes down who has come and gone.
+    fn log_changes(&mut self, now: Timestamp) {
+        let Some(changes) = self.changes.due(now) else { return };
+        info!(self.log, "instances changed"; "from" => changes.before, "serving" => changes.serving,
+            "joined" => changes.joined.len(), "left" => changes.left.len(),
+            "who_joined" => names(&changes.joined), "who_left" => names(&changes.left));
+    }
+
     /// Notices a standstill before anything is read: what waits in the callers' socket is as old as it was long, and the
     /// peers' word comes first.
     fn look_at_clocks(&mut self) {
@@ -290,6 +306,7 @@
         if let Some(gap) = gap.filter(|_| self.config.mechanisms.has(Mechanism::PauseDetection)) {
             warn!(self.log, "stood still"; "for_ms" => millis(gap));
             self.steering.stood_still(now);
+            self.fleet.stood_still(now);
             self.callers.drop_waiting();
             self.read_peers();
         }
@@ -300,14 +317,15 @@
         if self.peers.send(to, &frame) {
             return;
         }
-        if let Frame::Introduced { sender, message: Message::Push(announcement, _) } = frame {
-            self.peers.send(to, &Frame::Introduced { sender, message: Message::Announcement(announcement) });
+        if let Frame::Introduced { sender, message: Message::StoreNews(news) } = frame {
+            let message = Message::StoreNews(StoreNews { delta: None, ..news });
+            self.peers.send(to, &Frame::Introduced { sender, message });
         }
     }
 
     fn fleet_changed(&mut self) {
         let serving = self.fleet.serving();
-        info!(self.log, "instances changed"; "serving" => serving.len());
+        self.changes.note(&serving);
         self.steering.set_fleet(self.now(), serving, self.fleet.group_ids(), self.fleet.is_one_group());
         self.group = self.fleet.group();
     }
@@ -323,7 +341,7 @@
             }
             Command::Pulled { handover, took } => self.pulled(now, handover.as_deref(), took),
             // Whoever asked may have gone meanwhile.
-            Command::Handover { since, answer } => drop(answer.send(self.steering.handover(now, since))),
+            Command::Handover { since, answer } => drop(answer.send(self.handover(now, since))),
             Command::Dump(answer) => drop(answer.send(dump::render(now, &self.sources()))),
             Command::Metrics(answer) => drop(answer.send(metrics::render(now, &self.sources()))),
         }
@@ -375,6 +393,7 @@
         self.next_fleet = now + FLEET_PERIOD;
         let effects = self.fleet.tick(now, self.steering.directory().revision());
         self.carry_out_fleet(effects);
+        self.log_changes(now);
         self.look_at_readiness();
         if now >= self.next_settings {
             self.next_settings = now + SETTINGS_PERIOD;
@@ -416,3 +435,9 @@
 fn time_of_day() -> Duration {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
+
+/// Returns some instances by their addresses, which are their numbers.
+fn names(ids: &[InstanceId]) -> String {
+    let names: Vec<String> = ids.iter().take(MAX_NAMES).map(|id| Ipv4Addr::from(*id).to_string()).collect();
+    names.join(" ")
+}
--- a/crates/direct/src/process/news.rs
+++ b/crates/direct/src/process/news.rs
@@ -1,6 +1,7 @@
 //! News of the store: from the reader of the store, from peers, and on to them.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,6 +18,7 @@
 use hawthornshift_core::direct::facts::Delta;
 use hawthornshift_core::direct::message::Handover;
 use hawthornshift_core::direct::watch::Duty;
+use hawthornshift_model::Revision;
 
 impl Process {
     pub(super) fn confirm_news(&mut self, now: Timestamp) {
@@ -66,7 +68,8 @@
             let revision = self.steering.directory().revision();
             // A whole picture is large and comes after a gap: it is announced, and who lacks it pulls it.
             let told = self.steering.directory().retold(delta);
-            let effects = if delta.whole { Vec::new() } else { self.fleet.push(now, revision, &told) };
+            let told = peers::fits_push(&told).then(|| Arc::new(told));
+            let effects = if delta.whole { Vec::new() } else { self.fleet.push(now, revision, told) };
             self.carry_out_fleet(effects);
         }
     }
@@ -86,6 +89,8 @@
         };
         self.counts.pulls += 1;
         self.confirm_news(now);
+        let effects = self.fleet.adopt(now, &handover.members);
+        self.carry_out_fleet(effects);
         let changed = self.steering.adopt(now, handover, &mut self.effects);
         self.carry_out();
         if changed {
@@ -93,6 +98,12 @@
         }
     }
 
+    /// Returns what an instance needs that knows everything up to a revision; the other instances too if it has just started.
+    pub(super) fn handover(&self, now: Timestamp, since: Revision) -> Handover {
+        let handover = self.steering.handover(now, since);
+        if since > 0 { handover } else { Handover { members: self.fleet.handover(), ..handover } }
+    }
+
     pub(super) fn learn(&mut self, now: Timestamp, delta: &Delta, from: &'static str) {
         let changed = self.steering.learn(now, delta, &mut self.effects);
         self.carry_out();
