--- a/crates/core/src/direct/decision.rs
+++ b/crates/core/src/direct/decision.rs
@@ -45,8 +45,10 @@
     AnsweredLate,
     /// An answer was so much shorter and sooner there than its route's usual ones that it is taken for a failure.
     AnsweredFailure,
-    /// A flow ended without an answer having been seen here.
+    /// A flow ended with its handshake finished and without an answer having been seen here.
     EndedUnanswered,
+    /// A flow ended whose handshake was not finished here: its caller was served elsewhere, or tried again.
+    HandshakeUnfinished,
 }
 
 impl Outcome {
--- a/crates/core/src/direct/message.rs
+++ b/crates/core/src/direct/message.rs
@@ -5,6 +5,9 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use strum::EnumCount;
+use strum::EnumIter;
+use strum::IntoStaticStr;
 
 use crate::direct::facts::Delta;
 use crate::direct::load_report::LoadReport;
@@ -34,6 +37,37 @@
     LoadReport(LoadReport),
 }
 
+/// What a datagram is for, as it is counted.
+#[derive(Clone, Copy, Debug, EnumCount, EnumIter, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum FrameKind {
+    /// Signs of life, with news of members.
+    Heartbeat,
+    /// Comparisons of views.
+    View,
+    /// News of the store.
+    StoreNews,
+    /// Open work of targets.
+    LoadReport,
+}
+
+impl Frame {
+    /// Returns what the datagram is for.
+    #[must_use]
+    pub fn kind(&self) -> FrameKind {
+        match self {
+            Self::LoadReport(_) => FrameKind::LoadReport,
+            Self::Introduced { message, .. } => match message {
+                Message::Ping(_) | Message::Ack(_) | Message::IndirectPing { .. } | Message::IndirectAck { .. } => {
+                    FrameKind::Heartbeat
+                }
+                Message::ViewRequest(_) | Message::ViewPart(_) => FrameKind::View,
+                Message::StoreNews(_) => FrameKind::StoreNews,
+            },
+        }
+    }
+}
+
 /// What an instance says with an introduction.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/core/src/direct/steering/following.rs
+++ b/crates/core/src/direct/steering/following.rs
@@ -246,7 +246,9 @@
             self.failures.failed(now, flow.target);
             self.report_failure(flow.target);
         }
-        let decision = Decision::new(flow.id, Outcome::EndedUnanswered);
+        let opening = matches!(flow.stage, Stage::Opening(_));
+        let outcome = if opening { Outcome::HandshakeUnfinished } else { Outcome::EndedUnanswered };
+        let decision = Decision::new(flow.id, outcome);
         self.decide(Decision { took, target: Some(flow.target), ..decision });
         self.end_work(flow.id);
     }
--- a/crates/core/tests/direct/rules.rs
+++ b/crates/core/tests/direct/rules.rs
@@ -16,6 +16,7 @@
 use crate::fleet::target_id;
 use crate::fleet::whole;
 use hawthornshift_core::Timestamp;
+use hawthornshift_core::direct::decision::Decision;
 use hawthornshift_core::direct::decision::Outcome;
 use hawthornshift_core::direct::directory::cookie;
 use hawthornshift_core::direct::facts::Delta;
@@ -392,3 +393,23 @@
     assert_eq!(sent_to(&act(&mut steering, ms(2_100), &syn(2))), [target_id(0)]);
     assert_eq!(sent_to(&act(&mut steering, ms(2_900), &syn(3))), Vec::<u64>::new());
 }
+
+/// After a cut a thousand flows end whose callers were served elsewhere. Logged like requests that nobody answered they
+/// lead an engineer who looks for failures astray.
+#[test]
+fn a_handshake_that_nobody_finished_is_no_unanswered_request() {
+    let mut steering = ready(3);
+    act(&mut steering, ms(1), &syn(1));
+    act(&mut steering, ms(2), &syn(2));
+    act(&mut steering, ms(5), &Segment { acknowledged: 100, payload: 40, ..segment(2, SegmentKind::Carry) });
+    for step in 0..2_000_u64 {
+        steering.tick(ms(step * 10), &mut Vec::new());
+    }
+    let ended = |port: u16, outcome: Outcome, decisions: &[Decision]| {
+        decisions.iter().any(|decision| decision.flow == flow(port) && decision.outcome == outcome)
+    };
+    let decisions = steering.take_decisions();
+    assert!(ended(1, Outcome::HandshakeUnfinished, &decisions));
+    assert!(!ended(1, Outcome::EndedUnanswered, &decisions));
+    assert!(ended(2, Outcome::EndedUnanswered, &decisions));
+}
--- a/crates/direct/src/command.rs
+++ b/crates/direct/src/command.rs
@@ -43,8 +43,8 @@
     Handover {
         /// What it knows.
         since: Revision,
-        /// Where the answer goes.
-        answer: oneshot::Sender<Handover>,
+        /// Where the answer goes, encoded.
+        answer: oneshot::Sender<Vec<u8>>,
     },
     /// Somebody asks for the state.
     Dump(oneshot::Sender<String>),
--- a/crates/direct/src/dump.rs
+++ b/crates/direct/src/dump.rs
@@ -25,6 +25,19 @@
     pub pulls: u64,
     /// Handovers that failed.
     pub pull_failures: u64,
+    /// Handovers of everything to other instances.
+    pub whole_handovers: HandoverCounts,
+    /// Handovers of news to other instances.
+    pub news_handovers: HandoverCounts,
+}
+
+/// Counts of handovers to other instances.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct HandoverCounts {
+    /// Answers.
+    pub answers: u64,
+    /// Their bytes.
+    pub bytes: u64,
 }
 
 /// A target with what is believed of it.
--- a/crates/direct/src/http_server.rs
+++ b/crates/direct/src/http_server.rs
@@ -140,8 +140,7 @@
         }
         let (answer, rx) = oneshot::channel();
         let sent = self.tx.send(Command::Handover { since, answer }).await;
-        let handover = rx.await.ok().filter(|_| sent.is_ok());
-        match handover.and_then(|handover| postcard::to_stdvec(&handover).ok()) {
+        match rx.await.ok().filter(|_| sent.is_ok()) {
             Some(body) => respond(StatusCode::OK, held(body, permit)),
             None => respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
         }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -8,6 +8,7 @@
 use crate::dump::Sources;
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::decision::Outcome;
+use hawthornshift_core::direct::message::FrameKind;
 
 /// Quantiles of the latency histograms that are shown.
 const QUANTILES: [(f64, &str); 4] = [(0.5, "0.5"), (0.9, "0.9"), (0.99, "0.99"), (1.0, "1")];
@@ -73,8 +74,6 @@
         ("hawthornshift_packets_forwarded_total", callers.forwarded),
         ("hawthornshift_resets_sent_total", callers.resets),
         ("hawthornshift_packets_unsent_total", callers.unsent),
-        ("hawthornshift_peer_messages_sent_total", peers.sent),
-        ("hawthornshift_peer_bytes_sent_total", peers.sent_bytes),
         ("hawthornshift_peer_messages_unsent_total", peers.unsent),
         ("hawthornshift_peer_messages_received_total", peers.received),
         ("hawthornshift_peer_messages_malformed_total", peers.malformed),
@@ -87,4 +86,13 @@
     for (name, count) in counts {
         counter!(name).absolute(count);
     }
+    for kind in FrameKind::iter() {
+        let name: &'static str = kind.into();
+        counter!("hawthornshift_peer_messages_sent_total", "kind" => name).absolute(peers.sent[kind as usize]);
+        counter!("hawthornshift_peer_bytes_sent_total", "kind" => name).absolute(peers.sent_bytes[kind as usize]);
+    }
+    for (kind, handovers) in [("whole", process.whole_handovers), ("news", process.news_handovers)] {
+        counter!("hawthornshift_handovers_total", "kind" => kind).absolute(handovers.answers);
+        counter!("hawthornshift_handover_bytes_total", "kind" => kind).absolute(handovers.bytes);
+    }
 }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -6,6 +6,7 @@
 
 use http::StatusCode;
 use serde::Serialize;
+use strum::EnumCount;
 use thiserror::Error;
 use tokio::net::UdpSocket;
 
@@ -13,6 +14,7 @@
 use hawthornshift_adapters::http_client::ExchangeError;
 use hawthornshift_core::direct::facts::Delta;
 use hawthornshift_core::direct::message::Frame;
+use hawthornshift_core::direct::message::FrameKind;
 use hawthornshift_core::direct::message::Handover;
 use hawthornshift_core::direct::message::MAX_DATAGRAM_BYTES;
 use hawthornshift_model::Revision;
@@ -30,10 +32,10 @@
 /// Counts of messages.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct PeerCounts {
-    /// Datagrams sent.
-    pub sent: u64,
-    /// Bytes sent.
-    pub sent_bytes: u64,
+    /// Datagrams sent, by kind.
+    pub sent: [u64; FrameKind::COUNT],
+    /// Bytes sent, by kind.
+    pub sent_bytes: [u64; FrameKind::COUNT],
     /// Datagrams that were not sent: too large, or not taken by the system.
     pub unsent: u64,
     /// Datagrams received.
@@ -116,11 +118,12 @@
         out.push(VERSION);
         let Ok(encoded) = postcard::to_extend(frame, out) else { return false };
         let fits = encoded.len() <= MAX_DATAGRAM_BYTES;
+        let kind = frame.kind() as usize;
         for address in to.iter().filter(|_| fits) {
             match self.socket.try_send_to(&encoded, *address) {
                 Ok(bytes) => {
-                    self.counts.sent += 1;
-                    self.counts.sent_bytes += bytes as u64;
+                    self.counts.sent[kind] += 1;
+                    self.counts.sent_bytes[kind] += bytes as u64;
                 }
                 Err(_) => self.counts.unsent += 1,
             }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -340,8 +340,7 @@
                 self.carry_out();
             }
             Command::Pulled { handover, took } => self.pulled(now, handover.as_deref(), took),
-            // Whoever asked may have gone meanwhile.
-            Command::Handover { since, answer } => drop(answer.send(self.handover(now, since))),
+            Command::Handover { since, answer } => self.hand_over(now, since, answer),
             Command::Dump(answer) => drop(answer.send(dump::render(now, &self.sources()))),
             Command::Metrics(answer) => drop(answer.send(metrics::render(now, &self.sources()))),
         }
--- a/crates/direct/src/process/news.rs
+++ b/crates/direct/src/process/news.rs
@@ -7,6 +7,7 @@
 
 use slog::info;
 use slog::warn;
+use tokio::sync::oneshot;
 
 use super::Process;
 use crate::command;
@@ -98,10 +99,24 @@
         }
     }
 
-    /// Returns what an instance needs that knows everything up to a revision; the other instances too if it has just started.
-    pub(super) fn handover(&self, now: Timestamp, since: Revision) -> Handover {
+    /// Tells an instance what it needs that knows everything up to a revision; the other instances too if it has just
+    /// started.
+    pub(super) fn hand_over(&mut self, now: Timestamp, since: Revision, answer: oneshot::Sender<Vec<u8>>) {
         let handover = self.steering.handover(now, since);
-        if since > 0 { handover } else { Handover { members: self.fleet.handover(), ..handover } }
+        let starts = since == 0;
+        let members = if starts { self.fleet.handover() } else { Vec::new() };
+        let body = match postcard::to_stdvec(&Handover { members, ..handover }) {
+            Ok(body) => body,
+            Err(error) => {
+                warn!(self.log, "handover not encoded"; "error" => error.to_string());
+                return;
+            }
+        };
+        let counts = if starts { &mut self.counts.whole_handovers } else { &mut self.counts.news_handovers };
+        counts.answers += 1;
+        counts.bytes += body.len() as u64;
+        // Whoever asked may have gone meanwhile.
+        drop(answer.send(body));
     }
 
     pub(super) fn learn(&mut self, now: Timestamp, delta: &Delta, from: &'static str) {
