A failure domain whose targets do not answer is avoided as a whole

When a failure domain loses power its targets stay listed for some four seconds. Each instance judged each of them by itself, and instances of that domain prefer targets near them: with ten targets an instance and few requests for each, one request after the other tried three dead ones and was lost until its caller asked again.

Handshakes that are not finished count against the target's failure domain too, unless it has answered since; two of different targets in a row put the domain's targets behind others, here and in the group, by the same rules as for single targets (ageing, trials by one instance, cleared by the first answer). A second try leaves the domain of the first unless that has just answered. Switch: domain-reach.

--- a/crates/core/src/direct/load_report.rs
+++ b/crates/core/src/direct/load_report.rs
@@ -66,6 +66,8 @@
     pub failed: Vec<FailedRequest>,
     /// Targets that seem not to answer, and how long to avoid each.
     pub avoid: Vec<(Cookie, Duration)>,
+    /// Failure domains whose targets seem not to answer, and how long to avoid each.
+    pub avoid_domains: Vec<(String, Duration)>,
     /// Targets that the sender could not reach; some of the others should check them.
     pub unreached: Vec<Cookie>,
     /// The same, in answer to another instance.
@@ -88,6 +90,7 @@
         flows
             + self.failed.len()
             + self.avoid.len()
+            + self.avoid_domains.len()
             + self.alive.len()
             + self.returning.len()
             + self.unreached.len()
@@ -105,6 +108,7 @@
         parts.extend(split(&self.given_up, |given_up| Self { given_up, ..Self::default() }));
         parts.extend(split(&self.failed, |failed| Self { failed, ..Self::default() }));
         parts.extend(split(&self.avoid, |avoid| Self { avoid, ..Self::default() }));
+        parts.extend(split(&self.avoid_domains, |avoid_domains| Self { avoid_domains, ..Self::default() }));
         parts.extend(split(&self.unreached, |unreached| Self { unreached, ..Self::default() }));
         parts.extend(split(&self.confirmed, |confirmed| Self { confirmed, ..Self::default() }));
         parts.extend(split(&self.alive, |alive| Self { alive, ..Self::default() }));
--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -23,6 +23,8 @@
     LoadReports,
     /// Targets that do not finish handshakes are avoided.
     OutlierDetection,
+    /// Failure domains whose targets do not finish handshakes are avoided.
+    DomainReach,
     /// Targets that owe answers are checked, and open flows of those out of reach are reset.
     TargetChecks,
     /// Targets whose answers look like failures are set aside.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -7,7 +7,7 @@
 //! - [`directory`] is what the store says, in [`facts`] that instances pass on to each other; [`routes`] is the
 //!   configuration in it.
 //! - [`placement`] picks a target, by [`work`] (what targets hold, told between instances in [`load_report`]), [`outlier`]
-//!   (which seem not to answer), [`failures`] (which answer with failures) and [`patience`] (how long a handshake may take).
+//!   and [`domain_reach`] (which seem not to answer, single ones and whole failure domains), [`failures`] (which answer with failures) and [`patience`] (how long a handshake may take).
 //! - [`reachability`] checks targets that owe answers, so that flows at those which are out of reach can be reset.
 //! - [`waiting`] keeps flows for which no slot is free, [`window`] bounds what an instance sends while it is alone;
 //!   [`flows`] are the records of those that pass through here.
@@ -20,6 +20,7 @@
 
 pub mod decision;
 pub mod directory;
+pub mod domain_reach;
 pub mod facts;
 pub mod failures;
 pub mod fleet;
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -11,6 +11,7 @@
 use crate::Timestamp;
 use crate::direct::directory::Directory;
 use crate::direct::directory::Target;
+use crate::direct::domain_reach::DomainReach;
 use crate::direct::failures::Failures;
 use crate::direct::mechanisms::Mechanism;
 use crate::direct::mechanisms::Mechanisms;
@@ -70,6 +71,8 @@
     pub work: &'a OpenWork,
     /// Which of them seem not to answer.
     pub outliers: &'a Outliers,
+    /// Which failure domains seem not to answer.
+    pub domains: &'a DomainReach,
     /// Which of them answer with failures.
     pub failures: &'a Failures,
     /// The failure domain of this instance.
@@ -91,6 +94,7 @@
     #[must_use]
     pub fn choose(&self, now: Timestamp, service: &str, hash: u64, limit: Limit, tried: &[TargetId]) -> Choice {
         let warm = |target: &&Target| !self.is_cold(now, target);
+        let mut domains = DoubtedDomains::default();
         let mut any = false;
         let mut any_in_use = false;
         let mut best: Option<(f64, u64, TargetId)> = None;
@@ -105,6 +109,7 @@
             let cost = (self.cost(now, target), rendezvous::score(hash, target.id), target.id);
             let place = match self.outliers.trust(now, target.id, self.patience, || self.is_mine(target.id)) {
                 Trust::Full if self.failures.is_aside(now, target.id, || self.is_mine(target.id)) => &mut best_doubted,
+                Trust::Full if domains.contains(self, now, &target.facts.failure_domain, tried) => &mut best_doubted,
                 Trust::Full => &mut best,
                 Trust::Doubted => &mut best_doubted,
                 Trust::Silent if self.outliers.may_try_last(now, target.id) => &mut best_silent,
@@ -126,6 +131,17 @@
         }
     }
 
+    /// Tells whether targets of a failure domain go behind others: the domain seems not to answer, or one of its targets
+    /// did not finish this flow's handshake and none has answered since.
+    fn is_domain_doubted(&self, now: Timestamp, domain: &str, tried: &[TargetId]) -> bool {
+        if !self.mechanisms.has(Mechanism::DomainReach) {
+            return false;
+        }
+        let of_domain = |id: &TargetId| self.directory.target(*id).is_some_and(|t| t.facts.failure_domain == domain);
+        let failed = tried.iter().any(of_domain) && !self.domains.answers(now, domain);
+        failed || self.domains.is_doubted(now, domain, self.patience, |key| self.is_mine(key))
+    }
+
     /// Tells whether a target is cold by its entry, or may be since it was silent.
     ///
     /// Where more than a third of a service's targets come back together, a partition has healed or this instance had
@@ -177,6 +193,21 @@
     }
 }
 
+/// Failure domains judged once for one flow, however many targets they have.
+#[derive(Debug, Default)]
+struct DoubtedDomains<'a>(Vec<(&'a str, bool)>);
+
+impl<'a> DoubtedDomains<'a> {
+    fn contains(&mut self, placement: &Placement<'_>, now: Timestamp, domain: &'a str, tried: &[TargetId]) -> bool {
+        if let Some((_, doubted)) = self.0.iter().find(|(known, _)| *known == domain) {
+            return *doubted;
+        }
+        let doubted = placement.is_domain_doubted(now, domain, tried);
+        self.0.push((domain, doubted));
+        doubted
+    }
+}
+
 /// Flows that this instance placed on cold targets.
 #[derive(Clone, Debug, Default)]
 pub struct ColdBudget {
--- a/crates/core/src/direct/steering/following.rs
+++ b/crates/core/src/direct/steering/following.rs
@@ -148,6 +148,9 @@
         if self.outliers.answered(now, target) {
             self.welcome_back(now, target);
         }
+        if let Some(target) = self.directory.target(target) {
+            self.domains.answered(now, &target.facts.failure_domain);
+        }
         self.note_alive(now, target);
         if first {
             let took = now.saturating_sub(sent);
--- a/crates/core/src/direct/steering/mod.rs
+++ b/crates/core/src/direct/steering/mod.rs
@@ -19,6 +19,7 @@
 use crate::direct::decision::Outcome;
 use crate::direct::decision::OutcomeCounts;
 use crate::direct::directory::Directory;
+use crate::direct::domain_reach::DomainReach;
 use crate::direct::facts::Delta;
 use crate::direct::failures::Failures;
 use crate::direct::flows::FlowRecords;
@@ -120,6 +121,7 @@
     directory: Directory,
     work: OpenWork,
     outliers: Outliers,
+    domains: DomainReach,
     checks: Checks,
     failures: Failures,
     refusal: Refusal,
@@ -175,6 +177,7 @@
             directory: Directory::default(),
             work: OpenWork::default(),
             outliers: Outliers::default(),
+            domains: DomainReach::default(),
             checks: Checks::default(),
             failures: Failures::default(),
             refusal: Refusal::default(),
--- a/crates/core/src/direct/steering/opening.rs
+++ b/crates/core/src/direct/steering/opening.rs
@@ -126,6 +126,7 @@
             directory: &self.directory,
             work: &self.work,
             outliers: &self.outliers,
+            domains: &self.domains,
             failures: &self.failures,
             domain: &self.config.domain,
             mechanisms: self.config.mechanisms,
@@ -192,6 +193,9 @@
         self.work.start(now, flow, target);
         self.report_if_notable(now, flow, target);
         self.outliers.tried(now, target);
+        if let Some(target) = self.directory.target(target) {
+            self.domains.tried(now, &target.facts.failure_domain);
+        }
         self.checks.sent(now, target);
         self.forward(target, segment.cookie, Packet::Kept(packet.clone()), effects);
         let stage = Stage::Opening(Opening { sent: now, packet, tried });
@@ -207,6 +211,17 @@
         effects.push(Effect::Forward { packet, to, target, cookie });
     }
 
+    /// Counts a handshake that was not finished against the target's failure domain.
+    fn domain_unanswered(&mut self, now: Timestamp, target: TargetId, sent: Timestamp) {
+        if !self.has(Mechanism::DomainReach) {
+            return;
+        }
+        let Some(domain) = self.directory.target(target).map(|target| &target.facts.failure_domain) else { return };
+        if let Some(avoidance) = self.domains.unanswered(now, domain, target, sent) {
+            self.report.avoid_domains.push((domain.clone(), avoidance));
+        }
+    }
+
     /// Sends a SYN whose handshake is overdue to another target; tells whether there was one.
     pub(super) fn try_another(&mut self, now: Timestamp, id: FlowId, effects: &mut Vec<Effect>) -> bool {
         let Some(flow) = self.flows.get(&id) else { return false };
@@ -217,6 +232,9 @@
             self.report.avoid.push((cookie(target), avoidance));
             self.checks.suspect(now, target);
         }
+        self.domain_unanswered(now, target, sent);
+        let Some(flow) = self.flows.get(&id) else { return false };
+        let Stage::Opening(opening) = &flow.stage else { return false };
         if opening.tried.len() + 1 >= MAX_TRIES || !self.has(Mechanism::SecondTry) {
             return false;
         }
--- a/crates/core/src/direct/steering/reporting.rs
+++ b/crates/core/src/direct/steering/reporting.rs
@@ -49,6 +49,11 @@
                 self.receive_suspicion(now, target, *avoidance);
             }
         }
+        if self.has(Mechanism::DomainReach) {
+            for (domain, avoidance) in &report.avoid_domains {
+                self.domains.hear(now, domain, *avoidance);
+            }
+        }
         self.receive_findings(now, report, effects);
         self.dispatch(now, effects);
     }
--- /dev/null
+++ b/crates/core/tests/direct/domain_loss.rs
@@ -0,0 +1,83 @@
+//! A failure domain whose targets are lost or cut off all at once, in a fleet with many targets and few requests for each.
+
+use std::time::Duration;
+
+use crate::fleet::DOMAINS;
+use crate::fleet::Sim;
+use crate::fleet::ms;
+use crate::fleet::target_id;
+
+const INSTANCES: usize = 32;
+const TARGETS: usize = 240;
+/// A request a second for each instance.
+const FEW: f64 = 32.0;
+const LOST: usize = 1;
+
+fn secs(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn fleet(seed: u64) -> Sim {
+    let mut sim = Sim::new(seed, INSTANCES, TARGETS, FEW);
+    sim.route_by_readiness();
+    sim.run_until(secs(4));
+    sim
+}
+
+/// All targets of a failure domain lose power and stay listed for seconds. Its instances prefer targets near them, and each
+/// request finds another one that is dead; one by one it would take them until the entries lapse.
+#[test]
+fn callers_leave_a_domain_whose_targets_are_all_dead() {
+    let (mut in_time, mut at_all) = (0.0, 0.0);
+    for seed in 0..4 {
+        let mut sim = fleet(seed);
+        for index in (0..TARGETS).filter(|index| index % DOMAINS == LOST) {
+            sim.targets.get_mut(&target_id(index)).unwrap().alive = false;
+        }
+        sim.run_until(secs(10));
+        let served = sim.served(secs(4), secs(8));
+        in_time += served.0 / 4.0;
+        at_all += served.1 / 4.0;
+    }
+    assert!(in_time > 0.98, "in time: {in_time}");
+    assert!(at_all > 0.995, "at all: {at_all}");
+}
+
+/// One target dies, and its neighbours live. A few handshakes that are not finished must not turn callers away from the whole
+/// failure domain: the bytes between domains are dear.
+#[test]
+fn one_dead_target_keeps_nobody_from_its_neighbours() {
+    let mut sim = fleet(5);
+    sim.targets.get_mut(&target_id(LOST)).unwrap().alive = false;
+    let opened = |sim: &Sim| -> usize {
+        let near = (0..TARGETS).filter(|index| index % DOMAINS == LOST);
+        near.map(|index| sim.targets[&target_id(index)].opened.len()).sum()
+    };
+    let before = opened(&sim);
+    sim.run_until(secs(10));
+    let got = opened(&sim) - before;
+    let asked = sim.requests.iter().filter(|request| request.asked >= secs(4)).count() / DOMAINS;
+    assert!(got * 10 >= asked * 8, "{got} of {asked}");
+}
+
+/// The targets come back. Callers of the domain use them again soon.
+#[test]
+fn a_domain_that_answers_again_is_used_again() {
+    let mut sim = fleet(6);
+    let near: Vec<usize> = (0..TARGETS).filter(|index| index % DOMAINS == LOST).collect();
+    for index in &near {
+        sim.targets.get_mut(&target_id(*index)).unwrap().alive = false;
+    }
+    sim.run_until(secs(6));
+    for index in &near {
+        sim.targets.get_mut(&target_id(*index)).unwrap().alive = true;
+    }
+    sim.run_until(secs(12));
+    let opened = |sim: &Sim| -> usize { near.iter().map(|index| sim.targets[&target_id(*index)].opened.len()).sum() };
+    let before = opened(&sim);
+    sim.run_until(secs(15));
+    let got = opened(&sim) - before;
+    assert!(got >= 12, "{got}");
+    let (in_time, _) = sim.served(secs(12), secs(14) + ms(500));
+    assert!(in_time > 0.98, "{in_time}");
+}
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -3,6 +3,7 @@
 
 mod convergence;
 mod directory;
+mod domain_loss;
 mod fleet;
 mod load;
 mod mechanisms;
