--- a/crates/core/src/direct/window.rs
+++ b/crates/core/src/direct/concurrency_limit.rs
@@ -5,7 +5,7 @@
 //! serve in the order of arrival, would make everybody late for as long as they take to empty. So one that is alone
 //! gives late flows a share and raises it with every answer that comes in good time, as a sender does on a path of
 //! unknown width (additive increase, multiplicative decrease). Flows that can still be in time are not held back: their
-//! answers may pass through instances that are not known yet, and a window that waits for them would stay shut.
+//! answers may pass through instances that are not known yet, and a limit that waits for them would stay low.
 
 use std::time::Duration;
 
@@ -13,27 +13,27 @@
 
 /// Requests under way that an instance begins with: the 28 slots of the deployments of today, by 9 instances.
 const FIRST: f64 = 3.0;
-/// Part of the window that is kept when an answer comes late.
+/// Part of the limit that is kept when an answer comes late.
 const DECREASE: f64 = 0.7;
 /// Time after a decrease in which no other follows: answers already under way tell of the same load.
 const HOLD: Duration = Duration::from_millis(100);
 /// Part of the latency objective above which an answer counts as late: half of it is lost to waiting then.
 const LATE_DIVISOR: u32 = 2;
 
-/// The window.
+/// The limit.
 #[derive(Clone, Copy, Debug)]
-pub struct SoloWindow {
+pub struct ConcurrencyLimit {
     size: f64,
     held_until: Timestamp,
 }
 
-impl Default for SoloWindow {
+impl Default for ConcurrencyLimit {
     fn default() -> Self {
         Self { size: FIRST, held_until: Timestamp::ZERO }
     }
 }
 
-impl SoloWindow {
+impl ConcurrencyLimit {
     /// Tells whether one more request may be sent while `open` are under way.
     #[must_use]
     pub fn allows(&self, open: usize) -> bool {
--- a/crates/core/src/direct/directory.rs
+++ b/crates/core/src/direct/directory.rs
@@ -77,7 +77,7 @@
         }
     }
 
-    /// Tells whether the target bears only a trickle.
+    /// Tells whether the target is in slow start.
     #[must_use]
     pub fn is_cold(&self, now: Timestamp) -> bool {
         now < self.cold_until
@@ -389,7 +389,7 @@
     /// Returns news of the store as it is told to peers, after it was applied here: of a configuration only what has
     /// changed.
     #[must_use]
-    pub fn retold(&self, delta: &Delta) -> Delta {
+    pub fn relayed(&self, delta: &Delta) -> Delta {
         let retell = |versioned: &Versioned| match (&versioned.fact, &self.routes) {
             // Of several that came at once only the last is in force.
             (Fact::Routing(_), Some(routes)) if versioned.revision < routes.revision() => None,
--- a/crates/core/src/direct/domain_reach.rs
+++ b/crates/core/src/direct/domain_reach.rs
@@ -77,9 +77,16 @@
 
     /// Tells whether targets of a domain go behind those of others; `mine` tells whether it is this instance's task to try
     /// it again, for the key that stands for it.
-    pub fn is_doubted(&self, now: Timestamp, domain: &str, patience: Duration, mine: impl FnOnce(u64) -> bool) -> bool {
+    pub fn is_doubted(
+        &self,
+        now: Timestamp,
+        domain: &str,
+        handshake_timeout: Duration,
+        mine: impl FnOnce(u64) -> bool,
+    ) -> bool {
         let domain = key(domain);
-        self.domains.is_suspected(domain) && self.domains.trust(now, domain, patience, || mine(domain)) != Trust::Full
+        self.domains.is_suspected(domain)
+            && self.domains.trust(now, domain, handshake_timeout, || mine(domain)) != Trust::Full
     }
 
     /// Tells whether a domain has answered here so lately that one silent target says nothing of the others.
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! Built on the product's [`Membership`]; what is added is the watch duty and the exchange of news.
 //!
-//! - [`view_sync`] paces the comparison of views.
-//! - [`store_news`] is the way of the store's news from the watcher to all.
-//! - [`change_log`] sums up for the log who has come and gone.
+//! - `view_sync` paces the comparison of views.
+//! - `store_news` is the way of the store's news from the watcher to all.
+//! - `change_log` sums up for the log who has come and gone.
 
 mod change_log;
 mod store_news;
@@ -114,7 +114,7 @@
     /// Whether the instances have changed since the rest of the process was told.
     changed: bool,
     next_change: Timestamp,
-    /// Until when nothing is passed on, since the process stood still and what it reads may be old.
+    /// Until when nothing is passed on, since the process was paused and what it reads may be old.
     no_relay_until: Timestamp,
 }
 
--- a/crates/core/src/direct/fleet/store_news.rs
+++ b/crates/core/src/direct/fleet/store_news.rs
@@ -54,8 +54,8 @@
         self.tell_everybody(announcement, revision, delta)
     }
 
-    /// Notes that the process stood still.
-    pub fn stood_still(&mut self, now: Timestamp) {
+    /// Notes that the process was paused.
+    pub fn paused(&mut self, now: Timestamp) {
         self.no_relay_until = now + NO_RELAY;
     }
 
--- a/crates/core/src/direct/patience.rs
+++ b/crates/core/src/direct/handshake_timeout.rs
@@ -5,10 +5,10 @@
 
 use std::time::Duration;
 
-/// Shortest patience. A handshake takes 7 ms at 3 ms between callers and instances; a process that waits for its share
+/// Shortest timeout. A handshake takes 7 ms at 3 ms between callers and instances; a process that waits for its share
 /// of the processor stalls by tens of milliseconds, and a SYN sent twice without need costs a connection.
 const SHORTEST: Duration = Duration::from_millis(40);
-/// Longest patience: shortly before the caller's own copy.
+/// Longest timeout: shortly before the caller's own copy.
 const LONGEST: Duration = Duration::from_millis(180);
 /// Weight of a new sample in the smoothed round trip (RFC 6298).
 const ALPHA: f64 = 0.125;
@@ -19,11 +19,11 @@
 
 /// Estimate of the time from a SYN to the packet that finishes its handshake.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Patience {
+pub struct HandshakeTimeout {
     estimate: Option<(f64, f64)>,
 }
 
-impl Patience {
+impl HandshakeTimeout {
     /// Takes in a measured handshake.
     pub fn sample(&mut self, took: Duration) {
         let took = took.as_secs_f64();
--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -47,7 +47,7 @@
     ReturningCold,
     /// An instance that reaches no target asks for no callers.
     ReadinessByReach,
-    /// What has waited in sockets while the process stood still is dropped. A promise to cold targets hangs on it.
+    /// What has waited in sockets while the process was paused is dropped. A promise to cold targets hangs on it.
     PauseDetection,
     /// SYNs that come before anything is known are kept.
     EarlySyns,
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -7,17 +7,18 @@
 //! - [`directory`] is what the store says, in [`facts`] that instances pass on to each other; [`routes`] is the
 //!   configuration in it.
 //! - [`placement`] picks a target, by [`work`] (what targets hold, told between instances in [`load_report`]), [`outlier`]
-//!   and [`domain_reach`] (which seem not to answer, single ones and whole failure domains), [`failures`] (which answer with failures) and [`patience`] (how long a handshake may take).
+//!   and [`domain_reach`] (which seem not to answer, single ones and whole failure domains), [`failures`] (which answer with failures) and [`handshake_timeout`] (how long a handshake may take).
 //! - [`reachability`] checks targets that owe answers, so that flows at those which are out of reach can be reset.
-//! - [`waiting`] keeps flows for which no slot is free, [`window`] bounds what an instance sends while it is alone;
+//! - [`pending`] keeps flows for which no slot is free, [`concurrency_limit`] bounds what an instance sends while it is alone;
 //!   [`flows`] are the records of those that pass through here.
 //! - [`readiness`] tells whether callers should be handed to this instance at all.
 //! - [`fleet`] is the other instances, [`watch`] who of them watches the store, [`message`] what they say.
-//! - [`starting`] is how an instance learns everything when it starts. [`standstill`] notices that the process was
+//! - [`starting`] is how an instance learns everything when it starts. [`pause`] notices that the process was
 //!   paused. [`stopping`] tells when a planned stop is over.
 //! - [`mechanisms`] are the switches by which a trial turns single decisions off.
 //! - [`decision`] is what logs and metrics show of all that.
 
+pub mod concurrency_limit;
 pub mod decision;
 pub mod directory;
 pub mod domain_reach;
@@ -25,21 +26,20 @@
 pub mod failures;
 pub mod fleet;
 pub mod flows;
+pub mod handshake_timeout;
 pub mod load_report;
 pub mod mechanisms;
 pub mod message;
 pub mod outlier;
-pub mod patience;
+pub mod pause;
+pub mod pending;
 pub mod placement;
 pub mod reachability;
 pub mod readiness;
 pub mod routes;
 pub mod segment;
-pub mod standstill;
 pub mod starting;
 pub mod steering;
 pub mod stopping;
-pub mod waiting;
 pub mod watch;
-pub mod window;
 pub mod work;
--- a/crates/core/src/direct/outlier.rs
+++ b/crates/core/src/direct/outlier.rs
@@ -216,11 +216,17 @@
     /// Tells how far a target may be used, by an instance whose task it is to try it again or not; `mine` is asked only
     /// about a silent target, since the answer ranks all instances of the group.
     ///
-    /// A handshake takes up to `patience`; a trial is decided after two.
+    /// A handshake takes up to `handshake_timeout`; a trial is decided after two.
     #[must_use]
-    pub fn trust(&self, now: Timestamp, target: TargetId, patience: Duration, mine: impl FnOnce() -> bool) -> Trust {
+    pub fn trust(
+        &self,
+        now: Timestamp,
+        target: TargetId,
+        handshake_timeout: Duration,
+        mine: impl FnOnce() -> bool,
+    ) -> Trust {
         let Some(record) = self.records.get(&target) else { return Trust::Full };
-        let on_trial = record.trial.is_some_and(|at| now.saturating_sub(at) < patience * 2);
+        let on_trial = record.trial.is_some_and(|at| now.saturating_sub(at) < handshake_timeout * 2);
         if record.is_silent(now) {
             let anybody = now >= record.avoid_until + ANYBODY;
             let may_try = now >= record.avoid_until && !on_trial && (anybody || mine());
--- a/crates/core/src/direct/waiting.rs
+++ b/crates/core/src/direct/pending.rs
@@ -30,7 +30,7 @@
 
 /// A SYN that waits.
 #[derive(Clone, Debug)]
-pub struct Waiting {
+pub struct PendingFlow {
     /// Its head.
     pub segment: Segment,
     /// The packet.
@@ -44,7 +44,7 @@
     /// How many of them came here.
     seen: u32,
     /// Until when it may still be answered within its latency objective.
-    pub hopeful_until: Timestamp,
+    pub in_time_until: Timestamp,
     /// When its caller's attempt ends, or the time that its route allows.
     pub until: Timestamp,
     /// Its route's priority; zero is the highest.
@@ -55,7 +55,7 @@
     pub tried: Vec<TargetId>,
 }
 
-impl Waiting {
+impl PendingFlow {
     /// Makes an entry for a SYN that came at `since` after so many copies.
     #[must_use]
     pub fn new(
@@ -74,7 +74,7 @@
             heard: since,
             copies,
             seen: 0,
-            hopeful_until: since + objective.saturating_sub(age) / OBJECTIVE_DIVISOR,
+            in_time_until: since + objective.saturating_sub(age) / OBJECTIVE_DIVISOR,
             until: since + timeout.min(ATTEMPT).saturating_sub(age),
             priority: u8::MAX,
             service: String::new(),
@@ -85,7 +85,7 @@
     /// Tells whether the flow can no longer be answered within its latency objective.
     #[must_use]
     pub fn is_late(&self, now: Timestamp) -> bool {
-        now >= self.hopeful_until
+        now >= self.in_time_until
     }
 
     /// Tells whether a reset cannot hit a flow that is open at a target.
@@ -107,47 +107,47 @@
 
 /// All flows that wait.
 #[derive(Clone, Debug, Default)]
-pub struct WaitingRoom {
+pub struct PendingQueue {
     /// Those that may still be in time, the most urgent first.
-    hopeful: Vec<Waiting>,
+    in_time: Vec<PendingFlow>,
     /// The others, the most urgent first.
-    late: Vec<Waiting>,
+    late: Vec<PendingFlow>,
 }
 
-fn insert(flows: &mut Vec<Waiting>, waiting: Waiting) {
+fn insert(flows: &mut Vec<PendingFlow>, waiting: PendingFlow) {
     let at = flows.partition_point(|other| other.rank() <= waiting.rank());
     flows.insert(at, waiting);
 }
 
-impl WaitingRoom {
+impl PendingQueue {
     /// Tells how many wait.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.hopeful.len() + self.late.len()
+        self.in_time.len() + self.late.len()
     }
 
     /// Tells whether none waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.hopeful.is_empty() && self.late.is_empty()
+        self.in_time.is_empty() && self.late.is_empty()
     }
 
     /// Tells whether none waits that may still be in time.
     #[must_use]
-    pub fn none_hopeful(&self) -> bool {
-        self.hopeful.is_empty()
+    pub fn none_in_time(&self) -> bool {
+        self.in_time.is_empty()
     }
 
     /// Takes a flow in. Returns the least urgent of those that are late if there are more than `capacity`: it could
     /// not be served before its time is over, and its caller should know at once.
-    pub fn push(&mut self, now: Timestamp, waiting: Waiting, capacity: usize) -> Option<Waiting> {
-        insert(if waiting.is_late(now) { &mut self.late } else { &mut self.hopeful }, waiting);
-        if self.len() > capacity { self.late.pop().or_else(|| self.hopeful.pop()) } else { None }
+    pub fn push(&mut self, now: Timestamp, waiting: PendingFlow, capacity: usize) -> Option<PendingFlow> {
+        insert(if waiting.is_late(now) { &mut self.late } else { &mut self.in_time }, waiting);
+        if self.len() > capacity { self.late.pop().or_else(|| self.in_time.pop()) } else { None }
     }
 
     /// Moves flows that can no longer be in time behind those that can.
     pub fn age(&mut self, now: Timestamp) {
-        let late = self.hopeful.extract_if(.., |waiting| waiting.is_late(now)).collect::<Vec<_>>();
+        let late = self.in_time.extract_if(.., |waiting| waiting.is_late(now)).collect::<Vec<_>>();
         for waiting in late {
             insert(&mut self.late, waiting);
         }
@@ -155,7 +155,7 @@
 
     /// Notes a copy of a SYN; tells whether its flow waits here.
     pub fn hear_copy(&mut self, now: Timestamp, segment: &Segment, copies: u32) -> bool {
-        let mut all = self.hopeful.iter_mut().chain(&mut self.late);
+        let mut all = self.in_time.iter_mut().chain(&mut self.late);
         let waiting = all.find(|waiting| waiting.segment.flow == segment.flow);
         let Some(waiting) = waiting else { return false };
         waiting.heard = now;
@@ -164,33 +164,33 @@
         true
     }
 
-    fn iter(&self) -> impl Iterator<Item = &Waiting> {
-        self.hopeful.iter().chain(&self.late)
+    fn iter(&self) -> impl Iterator<Item = &PendingFlow> {
+        self.in_time.iter().chain(&self.late)
     }
 
     /// Removes a flow that its caller has given up or that another instance has given to a target.
     pub fn remove(&mut self, flow: FlowHash) {
-        self.hopeful.retain(|waiting| waiting.segment.flow.short() != flow);
+        self.in_time.retain(|waiting| waiting.segment.flow.short() != flow);
         self.late.retain(|waiting| waiting.segment.flow.short() != flow);
     }
 
     /// Takes out the flow at a position, the most urgent first.
-    pub fn take(&mut self, index: usize) -> Option<Waiting> {
-        if index < self.hopeful.len() {
-            return Some(self.hopeful.remove(index));
+    pub fn take(&mut self, index: usize) -> Option<PendingFlow> {
+        if index < self.in_time.len() {
+            return Some(self.in_time.remove(index));
         }
-        let index = index - self.hopeful.len();
+        let index = index - self.in_time.len();
         (index < self.late.len()).then(|| self.late.remove(index))
     }
 
     /// Returns the flow at a position, the most urgent first.
     #[must_use]
-    pub fn get(&self, index: usize) -> Option<&Waiting> {
+    pub fn get(&self, index: usize) -> Option<&PendingFlow> {
         self.iter().nth(index)
     }
 
     /// Takes out one flow whose time is over.
-    pub fn pop_due(&mut self, now: Timestamp) -> Option<Waiting> {
+    pub fn pop_due(&mut self, now: Timestamp) -> Option<PendingFlow> {
         let index = self.iter().position(|waiting| waiting.until <= now)?;
         self.take(index)
     }
@@ -198,7 +198,7 @@
     /// Returns when the next flow must be looked at.
     #[must_use]
     pub fn next_due(&self) -> Option<Timestamp> {
-        let late = self.hopeful.iter().map(|waiting| waiting.hopeful_until.min(waiting.until));
+        let late = self.in_time.iter().map(|waiting| waiting.in_time_until.min(waiting.until));
         late.chain(self.late.iter().map(|waiting| waiting.until)).min()
     }
 }
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -81,8 +81,8 @@
     pub mechanisms: Mechanisms,
     /// Whether the work of all failure domains is told here.
     pub all_told: bool,
-    /// Handshake patience, for trials of avoided targets.
-    pub patience: Duration,
+    /// Handshake timeout, for trials of avoided targets.
+    pub handshake_timeout: Duration,
     /// Number of this instance.
     pub me: InstanceId,
     /// The instances that tell each other of open work, this one included.
@@ -102,12 +102,12 @@
         let mut best_silent: Option<(f64, u64, TargetId)> = None;
         for target in self.directory.candidates(now, service).filter(warm) {
             any = true;
-            any_in_use |= self.outliers.trust(now, target.id, self.patience, || false) != Trust::Silent;
+            any_in_use |= self.outliers.trust(now, target.id, self.handshake_timeout, || false) != Trust::Silent;
             if tried.contains(&target.id) || !self.has_room(target, limit) {
                 continue;
             }
             let cost = (self.cost(now, target), rendezvous::score(hash, target.id), target.id);
-            let place = match self.outliers.trust(now, target.id, self.patience, || self.is_mine(target.id)) {
+            let place = match self.outliers.trust(now, target.id, self.handshake_timeout, || self.is_mine(target.id)) {
                 Trust::Full if self.failures.is_aside(now, target.id, || self.is_mine(target.id)) => &mut best_doubted,
                 Trust::Full if domains.contains(self, now, &target.facts.failure_domain, tried) => &mut best_doubted,
                 Trust::Full => &mut best,
@@ -139,13 +139,13 @@
         }
         let of_domain = |id: &TargetId| self.directory.target(*id).is_some_and(|t| t.facts.failure_domain == domain);
         let failed = tried.iter().any(of_domain) && !self.domains.answers(now, domain);
-        failed || self.domains.is_doubted(now, domain, self.patience, |key| self.is_mine(key))
+        failed || self.domains.is_doubted(now, domain, self.handshake_timeout, |key| self.is_mine(key))
     }
 
     /// Tells whether a target is cold by its entry, or may be since it was silent.
     ///
     /// Where more than a third of a service's targets come back together, a partition has healed or this instance had
-    /// stood still, and they are warm; without them the rest would be overloaded.
+    /// was paused, and they are warm; without them the rest would be overloaded.
     #[must_use]
     pub fn is_cold(&self, now: Timestamp, target: &Target) -> bool {
         if target.is_cold(now) {
@@ -165,7 +165,7 @@
         rendezvous::pick(target, self.group.iter().copied(), u64::from).is_none_or(|id| id == self.me)
     }
 
-    /// Returns the cold targets of a service, which may get a trickle when no warm one is left.
+    /// Returns the cold targets of a service, which may get a few flows when no warm one is left.
     pub fn cold(&self, now: Timestamp, service: &str) -> impl Iterator<Item = TargetId> {
         self.directory.candidates(now, service).filter(move |target| self.is_cold(now, target)).map(|target| target.id)
     }
@@ -210,11 +210,11 @@
 
 /// Flows that this instance placed on cold targets.
 #[derive(Clone, Debug, Default)]
-pub struct ColdBudget {
+pub struct SlowStart {
     next: BTreeMap<TargetId, Timestamp>,
 }
 
-impl ColdBudget {
+impl SlowStart {
     /// Takes one flow for a cold target, if its budget allows.
     pub fn take(&mut self, now: Timestamp, target: TargetId) -> bool {
         let next = self.next.entry(target).or_insert(Timestamp::ZERO);
--- a/crates/core/src/direct/reachability.rs
+++ b/crates/core/src/direct/reachability.rs
@@ -22,7 +22,7 @@
 
 /// Time that a connection may take to be accepted: twenty round trips between failure domains.
 pub const CHECK_LIMIT: Duration = Duration::from_millis(40);
-/// Time beyond the limit after which the outcome of a check says nothing, since this process has stood still meanwhile.
+/// Time beyond the limit after which the outcome of a check says nothing, since this process was paused meanwhile.
 const STALL: Duration = Duration::from_millis(40);
 /// Usual times of a request after which a target that has given no sign of life is checked.
 const OVERDUE: f64 = 2.5;
@@ -205,7 +205,7 @@
         self.records.entry(target).or_default().asked = true;
     }
 
-    /// Gives every target its time anew, after this process has stood still: their answers may not have been read.
+    /// Gives every target its time anew, after this process was paused: their answers may not have been read.
     pub fn start_over(&mut self, now: Timestamp) {
         for record in self.records.values_mut().filter(|record| record.owes_since.is_some()) {
             record.owes_since = Some(now);
@@ -265,9 +265,9 @@
             return Finding::Alive;
         }
         // A process that stood still has not read what the target sent meanwhile.
-        let stood_still = now.saturating_sub(began) >= CHECK_LIMIT + STALL;
+        let paused = now.saturating_sub(began) >= CHECK_LIMIT + STALL;
         let control_failed = self.accepted.is_none_or(|at| at < began);
-        if stood_still || control_failed || record.last_sign >= began {
+        if paused || control_failed || record.last_sign >= began {
             record.next_check = now + RECHECK_FIRST;
             return Finding::Nothing;
         }
--- a/crates/core/src/direct/readiness.rs
+++ b/crates/core/src/direct/readiness.rs
@@ -49,8 +49,8 @@
     pub outliers: &'a Outliers,
     /// The failure domain of this instance.
     pub domain: &'a str,
-    /// Handshake patience, for trials of avoided targets.
-    pub patience: Duration,
+    /// Handshake timeout, for trials of avoided targets.
+    pub handshake_timeout: Duration,
 }
 
 impl Reach<'_> {
@@ -73,7 +73,7 @@
                 if self.outliers.answered_within(now, target.id, OUT_OF_REACH) {
                     return Readiness::Ready;
                 }
-            } else if self.outliers.trust(now, target.id, self.patience, || true) != Trust::Silent {
+            } else if self.outliers.trust(now, target.id, self.handshake_timeout, || true) != Trust::Silent {
                 return Readiness::Ready;
             }
         }
--- a/crates/core/src/direct/starting.rs
+++ b/crates/core/src/direct/starting.rs
@@ -96,8 +96,8 @@
     /// Tells whether to read the store now; `rank` counts the known instances that go before this one.
     pub fn reads_store(&mut self, now: Timestamp, rank: u32, duty: &WatchDuty) -> bool {
         let turn = (TURN * (rank / READERS)).min(LAST_TURN);
-        let courtesy = if rank > 0 && self.slow_link { SLOW_LINK_WAIT } else { Duration::ZERO };
-        let due = self.read_after + turn + courtesy;
+        let slow_link_wait = if rank > 0 && self.slow_link { SLOW_LINK_WAIT } else { Duration::ZERO };
+        let due = self.read_after + turn + slow_link_wait;
         let overdue = now >= due + ASK_NO_LONGER && !duty.is_watching();
         let reads = overdue || (now >= due && duty.should_read());
         if reads {
--- a/crates/core/src/direct/steering/following.rs
+++ b/crates/core/src/direct/steering/following.rs
@@ -146,7 +146,7 @@
     fn finish_handshake(&mut self, now: Timestamp, flow: FlowId, target: TargetId, handshake: Handshake) {
         let Handshake { sent, first, moved } = handshake;
         if self.outliers.answered(now, target) {
-            self.welcome_back(now, target);
+            self.recovered(now, target);
         }
         if let Some(target) = self.directory.target(target) {
             let domain = &target.facts.failure_domain;
@@ -157,7 +157,7 @@
         self.note_alive(now, target);
         if first {
             let took = now.saturating_sub(sent);
-            self.patience.sample(took);
+            self.handshake_timeout.sample(took);
             record(&mut self.handshakes, took);
         }
         if moved {
@@ -167,7 +167,7 @@
     }
 
     /// Counts a target that answers after a long silence as cold, here and at the peers.
-    fn welcome_back(&mut self, now: Timestamp, target: TargetId) {
+    fn recovered(&mut self, now: Timestamp, target: TargetId) {
         let cold_time = self.directory.cold_time(target);
         if !cold_time.is_zero() && self.has(Mechanism::ReturningCold) {
             self.outliers.return_slowly(now, target, cold_time);
@@ -184,7 +184,7 @@
         let (took, objective, target) = (now.saturating_sub(flow.first_seen), flow.objective, flow.target);
         flow.stage = Stage::Answered(Some(AnswerBegun { base, after: took }));
         record(&mut self.answers, took);
-        self.window.answered(now, took, objective);
+        self.concurrency.answered(now, took, objective);
         if took > objective {
             let decision = Decision { took, target: Some(target), ..Decision::new(id, Outcome::AnsweredLate) };
             self.decide(decision);
--- a/crates/core/src/direct/steering/mod.rs
+++ b/crates/core/src/direct/steering/mod.rs
@@ -15,6 +15,7 @@
 use hdrhistogram::Histogram;
 
 use crate::Timestamp;
+use crate::direct::concurrency_limit::ConcurrencyLimit;
 use crate::direct::decision::Decision;
 use crate::direct::decision::Outcome;
 use crate::direct::decision::OutcomeCounts;
@@ -23,14 +24,15 @@
 use crate::direct::facts::Delta;
 use crate::direct::failures::Failures;
 use crate::direct::flows::FlowRecords;
+use crate::direct::handshake_timeout::HandshakeTimeout;
 use crate::direct::load_report::LoadReport;
 use crate::direct::mechanisms::Mechanism;
 use crate::direct::mechanisms::Mechanisms;
 use crate::direct::message::Handover;
 use crate::direct::outlier::Outliers;
-use crate::direct::patience::Patience;
-use crate::direct::placement::ColdBudget;
+use crate::direct::pending::PendingQueue;
 use crate::direct::placement::Limit;
+use crate::direct::placement::SlowStart;
 use crate::direct::reachability::Checks;
 use crate::direct::reachability::ReachChange;
 use crate::direct::readiness::Reach;
@@ -39,8 +41,6 @@
 use crate::direct::segment::Cookie;
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
-use crate::direct::waiting::WaitingRoom;
-use crate::direct::window::SoloWindow;
 use crate::direct::work::OpenWork;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::Revision;
@@ -48,7 +48,7 @@
 
 /// Most SYNs kept while the directory is not whole: what an instance gets in the tenth of a second that a start takes.
 const MAX_EARLY: usize = 64;
-/// Time after a standstill in which new flows wait for word that the news here is not old: an announcement comes every
+/// Time after a pause in which new flows wait for word that the news here is not old: an announcement comes every
 /// 300 ms, and without any there is nobody who could know better.
 const UNSURE: Duration = Duration::from_millis(400);
 /// Age at which a kept SYN is dropped: its caller sends a copy soon.
@@ -126,11 +126,11 @@
     failures: Failures,
     refusal: Refusal,
     flows: FlowRecords,
-    waiting: WaitingRoom,
-    patience: Patience,
-    cold: ColdBudget,
-    window: SoloWindow,
-    /// Until when what is known here may be old, since this process stood still.
+    waiting: PendingQueue,
+    handshake_timeout: HandshakeTimeout,
+    cold: SlowStart,
+    concurrency: ConcurrencyLimit,
+    /// Until when what is known here may be old, since this process was paused.
     unsure_until: Timestamp,
     /// SYNs that came before the directory was whole, or while it may be old.
     early: Vec<(Timestamp, Segment, Box<[u8]>)>,
@@ -182,10 +182,10 @@
             failures: Failures::default(),
             refusal: Refusal::default(),
             flows: FlowRecords::default(),
-            waiting: WaitingRoom::default(),
-            patience: Patience::default(),
-            cold: ColdBudget::default(),
-            window: SoloWindow::default(),
+            waiting: PendingQueue::default(),
+            handshake_timeout: HandshakeTimeout::default(),
+            cold: SlowStart::default(),
+            concurrency: ConcurrencyLimit::default(),
             unsure_until: Timestamp::ZERO,
             next_refresh: Timestamp::ZERO,
             early: Vec::new(),
@@ -302,8 +302,8 @@
         changed
     }
 
-    /// Notes that this process has stood still: it may have missed that targets left, died or turned cold.
-    pub fn stood_still(&mut self, now: Timestamp) {
+    /// Notes that this process was paused: it may have missed that targets left, died or turned cold.
+    pub fn paused(&mut self, now: Timestamp) {
         self.unsure_until = now + UNSURE;
     }
 
@@ -322,7 +322,7 @@
             directory: &self.directory,
             outliers: &self.outliers,
             domain: &self.config.domain,
-            patience: self.patience.limit(),
+            handshake_timeout: self.handshake_timeout.limit(),
         };
         let others_in_reach = others_in_reach || !self.has(Mechanism::ReadinessByReach);
         let judged = reach.readiness(now, others_in_reach);
--- a/crates/core/src/direct/steering/opening.rs
+++ b/crates/core/src/direct/steering/opening.rs
@@ -17,6 +17,7 @@
 use crate::direct::flows::Opening;
 use crate::direct::flows::Stage;
 use crate::direct::mechanisms::Mechanism;
+use crate::direct::pending::PendingFlow;
 use crate::direct::placement::Choice;
 use crate::direct::placement::Limit;
 use crate::direct::placement::Placement;
@@ -24,7 +25,6 @@
 use crate::direct::segment::FlowId;
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
-use crate::direct::waiting::Waiting;
 use crate::rendezvous;
 use hawthornshift_model::TargetId;
 
@@ -44,7 +44,7 @@
             flow.last_seen = now;
             let target = flow.target;
             let overdue = matches!(&flow.stage, Stage::Opening(opening)
-                if now.saturating_sub(opening.sent) >= self.patience.limit());
+                if now.saturating_sub(opening.sent) >= self.handshake_timeout.limit());
             if overdue && self.try_another(now, segment.flow, effects) {
                 return;
             }
@@ -62,42 +62,48 @@
         let shares = route.shares.iter();
         let weighted = shares.map(|share| (share, xxh3_64(share.service.as_bytes()), share.weight));
         let Some(share) = rendezvous::pick_weighted(hash, weighted) else {
-            self.give_up(segment, Outcome::ResetNoTarget, effects);
+            self.reject(segment, Outcome::ResetNoTarget, effects);
             return;
         };
-        let mut waiting = Waiting::new(*segment, packet, since, copies, route.latency_objective, route.timeout);
+        let mut waiting = PendingFlow::new(*segment, packet, since, copies, route.latency_objective, route.timeout);
         waiting.priority = route.priority;
         waiting.service.clone_from(&share.service);
         if !self.has(Mechanism::LateLast) {
-            waiting.hopeful_until = waiting.until;
+            waiting.in_time_until = waiting.until;
         }
         let late = waiting.is_late(now);
-        let first = if late { self.waiting.is_empty() } else { self.waiting.none_hopeful() };
+        let first = if late { self.waiting.is_empty() } else { self.waiting.none_in_time() };
         match self.choose(now, &waiting, self.limit(late)) {
             Choice::Target(target) if first => self.place(now, waiting, target, Outcome::Placed, effects),
-            Choice::Nowhere if self.all_cold(now, &waiting.service) => self.trickle(now, waiting, effects),
-            Choice::Nowhere => self.turn_away(now, &waiting, Outcome::ResetNoTarget, effects),
+            Choice::Nowhere if self.all_cold(now, &waiting.service) => self.start_slowly(now, waiting, effects),
+            Choice::Nowhere => self.reject_pending(now, &waiting, Outcome::ResetNoTarget, effects),
             Choice::Target(_) | Choice::Full => self.wait(now, waiting, effects),
         }
     }
 
-    fn wait(&mut self, now: Timestamp, waiting: Waiting, effects: &mut Vec<Effect>) {
+    fn wait(&mut self, now: Timestamp, waiting: PendingFlow, effects: &mut Vec<Effect>) {
         self.decide(Decision::new(waiting.segment.flow, Outcome::Waiting));
         if !self.has(Mechanism::PendingQueue) {
-            self.turn_away(now, &waiting, Outcome::ResetFull, effects);
+            self.reject_pending(now, &waiting, Outcome::ResetFull, effects);
             return;
         }
         let capacity = self.waiting_capacity(now, &waiting.service);
         if let Some(displaced) = self.waiting.push(now, waiting, capacity) {
-            self.turn_away(now, &displaced, Outcome::ResetFull, effects);
+            self.reject_pending(now, &displaced, Outcome::ResetFull, effects);
         }
         self.dispatch(now, effects);
     }
 
     /// Gives up a flow that has waited.
-    pub(super) fn turn_away(&mut self, now: Timestamp, waiting: &Waiting, outcome: Outcome, effects: &mut Vec<Effect>) {
+    pub(super) fn reject_pending(
+        &mut self,
+        now: Timestamp,
+        waiting: &PendingFlow,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
         if waiting.may_be_reset(now) {
-            self.give_up(&waiting.segment, outcome, effects);
+            self.reject(&waiting.segment, outcome, effects);
         } else {
             let took = now.saturating_sub(waiting.since);
             self.decide(Decision { took, ..Decision::new(waiting.segment.flow, Outcome::DroppedWaiting) });
@@ -116,7 +122,7 @@
     }
 
     /// Resets a flow that was sent nowhere, so that its caller knows at once that nothing has run.
-    fn give_up(&mut self, segment: &Segment, outcome: Outcome, effects: &mut Vec<Effect>) {
+    fn reject(&mut self, segment: &Segment, outcome: Outcome, effects: &mut Vec<Effect>) {
         effects.push(Effect::Reset(*segment));
         self.decide(Decision::new(segment.flow, outcome));
     }
@@ -131,17 +137,17 @@
             domain: &self.config.domain,
             mechanisms: self.config.mechanisms,
             all_told: self.all_told,
-            patience: self.patience.limit(),
+            handshake_timeout: self.handshake_timeout.limit(),
             me: self.config.id,
             group: &self.group,
         }
     }
 
-    pub(super) fn choose(&self, now: Timestamp, waiting: &Waiting, limit: Limit) -> Choice {
+    pub(super) fn choose(&self, now: Timestamp, waiting: &PendingFlow, limit: Limit) -> Choice {
         let hash = waiting.segment.flow.hash64();
         let alone = self.instances.len() <= 1;
         let late = waiting.is_late(now) && waiting.tried.is_empty();
-        if alone && late && self.has(Mechanism::SoloWindow) && !self.window.allows(self.work.total()) {
+        if alone && late && self.has(Mechanism::SoloWindow) && !self.concurrency.allows(self.work.total()) {
             return Choice::Full;
         }
         self.placement().choose(now, &waiting.service, hash, limit, &waiting.tried)
@@ -166,7 +172,7 @@
     }
 
     /// Places on a cold target of this instance's if its budget allows; otherwise the flow waits for one to be warm.
-    fn trickle(&mut self, now: Timestamp, waiting: Waiting, effects: &mut Vec<Effect>) {
+    fn start_slowly(&mut self, now: Timestamp, waiting: PendingFlow, effects: &mut Vec<Effect>) {
         let targets: Vec<TargetId> = self.placement().cold(now, &waiting.service).collect();
         let target = targets.into_iter().find(|target| self.takes_cold_turn(now, *target));
         match target {
@@ -178,12 +184,12 @@
     pub(super) fn place(
         &mut self,
         now: Timestamp,
-        waiting: Waiting,
+        waiting: PendingFlow,
         target: TargetId,
         outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
-        let Waiting { segment, packet, since, tried, .. } = waiting;
+        let PendingFlow { segment, packet, since, tried, .. } = waiting;
         let copies = if let SegmentKind::Open { copies } = segment.kind { copies } else { 0 };
         let objective = self.directory.route(segment.flow.service).map_or(Duration::MAX, |r| r.latency_objective);
         let took = now.saturating_sub(since);
@@ -201,7 +207,7 @@
         let stage = Stage::Opening(Opening { sent: now, packet, tried });
         let (id, sequence) = (segment.flow, segment.sequence);
         self.flows.insert(Flow { id, target, sequence, stage, first_seen: since, last_seen: now, objective });
-        self.flows.watch_handshake(flow, now + self.patience.limit());
+        self.flows.watch_handshake(flow, now + self.handshake_timeout.limit());
     }
 
     pub(super) fn forward(&mut self, target: TargetId, carried: Cookie, packet: Packet, effects: &mut Vec<Effect>) {
@@ -251,7 +257,7 @@
             payload: 0,
             cookie: 0,
         };
-        let mut waiting = Waiting::new(segment, &opening.packet, flow.first_seen, 0, flow.objective, Duration::MAX);
+        let mut waiting = PendingFlow::new(segment, &opening.packet, flow.first_seen, 0, flow.objective, Duration::MAX);
         waiting.service = service;
         waiting.tried = tried;
         // Not reset if every other target is full: the first may still answer.
--- a/crates/core/src/direct/steering/timers.rs
+++ b/crates/core/src/direct/steering/timers.rs
@@ -7,14 +7,14 @@
 use crate::Timestamp;
 use crate::direct::decision::Outcome;
 use crate::direct::flows::Stage;
+use crate::direct::pending::PendingFlow;
 use crate::direct::placement::Choice;
 use crate::direct::placement::Limit;
 use crate::direct::segment::FlowHash;
 use crate::direct::segment::FlowId;
-use crate::direct::waiting::Waiting;
 use hawthornshift_model::TargetId;
 
-/// Delay of a timer beyond which this process, and not the target, is taken to have stood still.
+/// Delay of a timer beyond which this process, and not the target, is taken to have been paused.
 const STALL: Duration = Duration::from_millis(20);
 /// Delay of a timer beyond which its handshake is not judged at all: what the caller sent meanwhile may be lost.
 const FREEZE: Duration = Duration::from_millis(200);
@@ -60,7 +60,7 @@
         for flow in self.flows.unanswered() {
             let short = flow.id.short();
             let silent = now.saturating_sub(flow.last_seen);
-            if silent >= self.work.patience(now, flow.target) {
+            if silent >= self.work.silence_limit(now, flow.target) {
                 ended.push(flow.id);
             } else {
                 open.push((short, flow.target));
@@ -94,7 +94,7 @@
         if opening.sent >= due {
             return;
         }
-        // A process that stood still has not read what the caller sent meanwhile. Judging by the clock alone would
+        // A process that was paused has not read what the caller sent meanwhile. Judging by the clock alone would
         // put every target under suspicion at once, and send SYNs twice.
         let late = now.saturating_sub(due);
         if late >= FREEZE {
@@ -112,11 +112,11 @@
     }
 
     /// Decides about a flow that has waited as long as it may: its caller's attempt is about to end.
-    fn decide_waiting(&mut self, now: Timestamp, waiting: Waiting, effects: &mut Vec<Effect>) {
+    fn decide_waiting(&mut self, now: Timestamp, waiting: PendingFlow, effects: &mut Vec<Effect>) {
         match self.choose(now, &waiting, Limit::Usual) {
             Choice::Target(target) => self.place(now, waiting, target, Outcome::Placed, effects),
-            Choice::Full => self.turn_away(now, &waiting, Outcome::ResetFull, effects),
-            Choice::Nowhere => self.turn_away(now, &waiting, Outcome::ResetNoTarget, effects),
+            Choice::Full => self.reject_pending(now, &waiting, Outcome::ResetFull, effects),
+            Choice::Nowhere => self.reject_pending(now, &waiting, Outcome::ResetNoTarget, effects),
         }
     }
 
--- a/crates/core/src/direct/watch.rs
+++ b/crates/core/src/direct/watch.rs
@@ -141,8 +141,8 @@
         if self.watching || self.leaving {
             return None;
         }
-        let patience = SILENCE + STEP * rank;
-        if now.saturating_sub(self.heard) < patience {
+        let timeout = SILENCE + STEP * rank;
+        if now.saturating_sub(self.heard) < timeout {
             return None;
         }
         self.begin(now);
--- a/crates/core/src/direct/work.rs
+++ b/crates/core/src/direct/work.rs
@@ -28,9 +28,9 @@
 const NOTABLE_AGE: f64 = 1.5;
 /// Usual times of a request for which one that nothing has come of is believed to go on by whoever follows it. The
 /// slowest of a thousand requests takes six times the usual.
-const PATIENCE: f64 = 1.8;
+const SILENCE_LIMIT: f64 = 1.8;
 /// Longest of these times.
-const PATIENCE_MAX: Duration = Duration::from_millis(1_500);
+const LONGEST_SILENCE: Duration = Duration::from_millis(1_500);
 /// Weight of one more sample in a target's mean time: about eight samples decide, a third of a second at 25 a second.
 const SAMPLE_WEIGHT: f64 = 0.12;
 /// Time in which half of what was learned of a target's slowness is forgotten when it gets no work; after that it is
@@ -164,8 +164,8 @@
 
     /// Returns how long a request that a target was given is believed to go on without a sign of it.
     #[must_use]
-    pub fn patience(&self, now: Timestamp, target: TargetId) -> Duration {
-        Duration::from_secs_f64(self.usual * PATIENCE * self.slowness(now, target)).min(PATIENCE_MAX)
+    pub fn silence_limit(&self, now: Timestamp, target: TargetId) -> Duration {
+        Duration::from_secs_f64(self.usual * SILENCE_LIMIT * self.slowness(now, target)).min(LONGEST_SILENCE)
     }
 
     /// Tells whether the other instances should hear of a flow's request: it has become notable, or nobody has said for a
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -6,9 +6,9 @@
 //! view. Only then is it suspected, and only when the suspicion time passes without it refuting that does it count as
 //! dead. News rides on heartbeats.
 //!
-//! - [`failure_detector`] pings, suspects and buries.
-//! - [`dissemination`] passes news on, a piece at a time on heartbeats.
-//! - [`anti_entropy`] compares whole views and brings what a peer lacks.
+//! - `failure_detector` pings, suspects and buries.
+//! - `dissemination` passes news on, a piece at a time on heartbeats.
+//! - `anti_entropy` compares whole views and brings what a peer lacks.
 //!
 //! A life is told by its incarnation: a restart under the same id and address has a higher one, and everything said
 //! of the former life is void. Within a life only the instance itself raises its version, to refute.
--- a/crates/core/tests/direct/rules.rs
+++ b/crates/core/tests/direct/rules.rs
@@ -27,11 +27,11 @@
 use hawthornshift_core::direct::load_report::OpenRequest;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
 use hawthornshift_core::direct::outlier::Trust;
+use hawthornshift_core::direct::pause::PauseDetector;
 use hawthornshift_core::direct::segment::Cookie;
 use hawthornshift_core::direct::segment::FlowId;
 use hawthornshift_core::direct::segment::Segment;
 use hawthornshift_core::direct::segment::SegmentKind;
-use hawthornshift_core::direct::standstill::Standstill;
 use hawthornshift_core::direct::steering::Effect;
 use hawthornshift_core::direct::steering::Packet;
 use hawthornshift_core::direct::steering::Steering;
@@ -313,12 +313,12 @@
 #[test]
 fn after_a_standstill_new_flows_wait_for_word() {
     let mut steering = ready(1);
-    steering.stood_still(ms(5_000));
+    steering.paused(ms(5_000));
     assert_eq!(act(&mut steering, ms(5_001), &syn(1)), Vec::new());
     let mut effects = Vec::new();
     steering.confirm_news(ms(5_090), &mut effects);
     assert_eq!(sent_to(&effects), [target_id(0)]);
-    steering.stood_still(ms(9_000));
+    steering.paused(ms(9_000));
     assert_eq!(act(&mut steering, ms(9_300), &syn(2)), Vec::new());
     let mut effects = Vec::new();
     steering.tick(ms(9_410), &mut effects);
@@ -328,7 +328,7 @@
 /// A machine is suspended, and only its time of day goes on. The process must notice all the same.
 #[test]
 fn a_suspension_shows_in_the_time_of_day() {
-    let mut standstill = Standstill::new(ms(0), ms(1_000_000));
+    let mut standstill = PauseDetector::new(ms(0), ms(1_000_000));
     assert_eq!(standstill.turn(ms(50), ms(1_000_050)), None);
     assert_eq!(standstill.turn(ms(100), ms(1_004_000)), Some(ms(3_950)));
     assert_eq!(standstill.turn(ms(1_100), ms(1_005_000)), Some(ms(1_000)));
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -26,7 +26,7 @@
     pub received: u64,
     /// Packets that were not read since they are malformed.
     pub malformed: u64,
-    /// Packets that were dropped since they had waited while the process stood still.
+    /// Packets that were dropped since they had waited while the process was paused.
     pub stale: u64,
     /// Packets sent to targets.
     pub forwarded: u64,
@@ -91,7 +91,7 @@
         Some(decoded)
     }
 
-    /// Reads and drops what has waited while the process stood still.
+    /// Reads and drops what has waited while the process was paused.
     ///
     /// Their callers have long sent copies, or opened other flows; placed now, a hundred SYNs at once would go to targets
     /// by what was known before. Data is lost too, and sent again by whoever still waits for its answer.
--- a/crates/direct/src/checker.rs
+++ b/crates/direct/src/checker.rs
@@ -24,7 +24,7 @@
 
 async fn connect(to: SocketAddrV4) -> CheckOutcome {
     let connecting = TcpStream::connect(SocketAddr::V4(to));
-    // The connection is looked at before the clock, so that one which was accepted while this process stood still counts.
+    // The connection is looked at before the clock, so that one which was accepted while this process was paused counts.
     match tokio::time::timeout(CHECK_LIMIT, connecting).await {
         Ok(Ok(_)) => CheckOutcome::Accepted,
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => CheckOutcome::Refused,
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -52,8 +52,8 @@
 use hawthornshift_core::direct::message::Frame;
 use hawthornshift_core::direct::message::Message;
 use hawthornshift_core::direct::message::StoreNews;
+use hawthornshift_core::direct::pause::PauseDetector;
 use hawthornshift_core::direct::readiness::Readiness;
-use hawthornshift_core::direct::standstill::Standstill;
 use hawthornshift_core::direct::starting::Starting;
 use hawthornshift_core::direct::steering::Effect;
 use hawthornshift_core::direct::steering::Steering;
@@ -92,7 +92,7 @@
     decision_log: DecisionLog,
     reload: Reload,
     counts: ProcessCounts,
-    standstill: Standstill,
+    pause: PauseDetector,
     stopping: Option<Stopping>,
     pulling: bool,
     store_lost: bool,
@@ -154,7 +154,7 @@
             decision_log: DecisionLog::new(config.log.clone(), config.log_rate),
             reload: Reload::new(&config.settings_path, config.platform.clone()),
             counts: ProcessCounts::default(),
-            standstill: Standstill::new(Timestamp::ZERO, time_of_day()),
+            pause: PauseDetector::new(Timestamp::ZERO, time_of_day()),
             stopping: None,
             pulling: false,
             store_lost: false,
@@ -298,15 +298,15 @@
             "who_joined" => names(&changes.joined), "who_left" => names(&changes.left));
     }
 
-    /// Notices a standstill before anything is read: what waits in the callers' socket is as old as it was long, and the
+    /// Notices a pause before anything is read: what waits in the callers' socket is as old as it was long, and the
     /// peers' word comes first.
     fn look_at_clocks(&mut self) {
         let now = self.now();
-        let gap = self.standstill.turn(now, time_of_day());
+        let gap = self.pause.turn(now, time_of_day());
         if let Some(gap) = gap.filter(|_| self.config.mechanisms.has(Mechanism::PauseDetection)) {
-            warn!(self.log, "stood still"; "for_ms" => millis(gap));
-            self.steering.stood_still(now);
-            self.fleet.stood_still(now);
+            warn!(self.log, "process paused"; "for_ms" => millis(gap));
+            self.steering.paused(now);
+            self.fleet.paused(now);
             self.callers.drop_waiting();
             self.read_peers();
         }
@@ -430,7 +430,7 @@
     }
 }
 
-/// Returns the time of day since the Unix epoch; zero before it, which counts as a standstill once.
+/// Returns the time of day since the Unix epoch; zero before it, which counts as a pause once.
 fn time_of_day() -> Duration {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
--- a/crates/direct/src/store_reader.rs
+++ b/crates/direct/src/store_reader.rs
@@ -17,7 +17,7 @@
 use hawthornshift_platform::store::StoreError;
 
 /// Time that an answer may take beyond the wait asked for: the store answers in 4 ms, and in 250 ms when it is slow.
-const PATIENCE: Duration = Duration::from_millis(450);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(450);
 /// Time that reading everything may take, a page at a time.
 const READ_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause after news, so that changes which come in quick succession cost one call and not one each. Short against the
@@ -59,7 +59,7 @@
         let answer = if whole {
             client.read_all(READ_LIMIT).await
         } else {
-            client.watch(after, WATCH_WAIT, WATCH_WAIT + PATIENCE).await
+            client.watch(after, WATCH_WAIT, WATCH_WAIT + ANSWER_TIMEOUT).await
         };
         let (command, pause) = match answer {
             Ok(answer) => {
