Targets that register after their failure domain was lost are used at once

While a failure domain is avoided, its targets come back as new ones beside the old entries, which stay listed for seconds.

A suspicion concerns the targets that were known when it began. Newer ones are used as soon as they are warm; their answers say nothing of the old ones, which go on being avoided until they answer or lapse.

--- a/crates/core/src/direct/directory.rs
+++ b/crates/core/src/direct/directory.rs
@@ -58,6 +58,8 @@
     pub standing: Standing,
     /// When it stops being cold.
     pub cold_until: Timestamp,
+    /// When this instance first knew of this start of it.
+    pub known_since: Timestamp,
 }
 
 impl Target {
@@ -262,11 +264,13 @@
         if known.is_some_and(|target| target.revision >= revision) {
             return false;
         }
+        let same_start = known.filter(|target| target.facts.born == facts.born);
+        let known_since = same_start.map_or(now, |target| target.known_since);
         let standing = if facts.draining { Standing::Draining } else { Standing::Listed };
         // The entry was written before it is read, so counting its time from now never ends it too early.
         let cold_until = if facts.cold_for.is_zero() { Timestamp::ZERO } else { now + facts.cold_for };
         let facts = facts.clone();
-        self.targets.insert(id, Target { id, revision, facts, standing, cold_until });
+        self.targets.insert(id, Target { id, revision, facts, standing, cold_until, known_since });
         true
     }
 
@@ -287,7 +291,7 @@
         // Not known since when, so it gets no new flows: the grace for entries that lapse may be over.
         let facts = TargetFacts { draining: true, ..facts.clone() };
         let (standing, cold_until) = (Standing::Missing(now), Timestamp::ZERO);
-        self.targets.insert(id, Target { id, revision, facts, standing, cold_until });
+        self.targets.insert(id, Target { id, revision, facts, standing, cold_until, known_since: now });
         true
     }
 
--- a/crates/core/src/direct/domain_reach.rs
+++ b/crates/core/src/direct/domain_reach.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Timestamp;
+use crate::direct::directory::Target;
 use crate::direct::outlier::Outliers;
 use crate::direct::outlier::Trust;
 use crate::maps::Map;
@@ -34,6 +35,8 @@
     domains: Outliers,
     /// Target whose handshake was not finished last: it counts once, however often it is tried.
     last_failed: Map<DomainKey, TargetId>,
+    /// When each domain came under suspicion. Targets that have started since are none of those that do not answer.
+    suspected_since: Map<DomainKey, Timestamp>,
 }
 
 impl DomainReach {
@@ -41,33 +44,56 @@
     /// hear of it.
     ///
     /// Each instance would else have to find out for itself, and those with few requests would leave the domain idle for long.
-    pub fn answered(&mut self, now: Timestamp, domain: &str) -> bool {
-        let domain = key(domain);
+    pub fn answered(&mut self, now: Timestamp, target: &Target) -> bool {
+        let domain = key(&target.facts.failure_domain);
         let suspected = self.domains.is_suspected(domain);
-        self.last_failed.remove(&domain);
+        if suspected && self.is_newer(domain, target) {
+            return false;
+        }
+        self.forget(domain);
         self.domains.answered(now, domain);
         suspected
     }
 
     /// Takes over from a peer that a suspected domain has answered.
     pub fn hear_answer(&mut self, now: Timestamp, domain: &str) {
+        self.forget(key(domain));
         self.domains.clear(now, key(domain));
     }
 
     /// Notes that a target of a domain has not finished the handshake of a SYN sent at `sent`.
     ///
     /// Returns for how long to avoid the domain if peers should hear of it.
-    pub fn unanswered(&mut self, now: Timestamp, domain: &str, target: TargetId, sent: Timestamp) -> Option<Duration> {
-        let domain = key(domain);
-        if self.last_failed.insert(domain, target) == Some(target) {
+    pub fn unanswered(&mut self, now: Timestamp, target: &Target, sent: Timestamp) -> Option<Duration> {
+        let domain = key(&target.facts.failure_domain);
+        if self.last_failed.insert(domain, target.id) == Some(target.id) {
             return None;
         }
-        self.domains.unanswered(now, domain, sent)
+        let avoidance = self.domains.unanswered(now, domain, sent)?;
+        if self.is_newer(domain, target) {
+            self.suspected_since.remove(&domain);
+        }
+        self.suspected_since.entry(domain).or_insert(now);
+        Some(avoidance)
     }
 
     /// Takes over a peer's suspicion of a domain unless it has just answered here.
     pub fn hear(&mut self, now: Timestamp, domain: &str, avoidance: Duration) {
-        self.domains.hear(now, key(domain), avoidance);
+        let domain = key(domain);
+        self.domains.hear(now, domain, avoidance);
+        if self.domains.is_suspected(domain) {
+            self.suspected_since.entry(domain).or_insert(now);
+        }
+    }
+
+    fn forget(&mut self, domain: DomainKey) {
+        self.last_failed.remove(&domain);
+        self.suspected_since.remove(&domain);
+    }
+
+    /// Tells whether a target has started since its domain came under suspicion.
+    fn is_newer(&self, domain: DomainKey, target: &Target) -> bool {
+        self.suspected_since.get(&domain).is_some_and(|since| target.known_since > *since)
     }
 
     /// Notes that a SYN goes to a domain; if the domain is suspected, that SYN is its trial.
@@ -75,18 +101,19 @@
         self.domains.tried(now, key(domain));
     }
 
-    /// Tells whether targets of a domain go behind those of others; `mine` tells whether it is this instance's task to try
-    /// it again, for the key that stands for it.
-    pub fn is_doubted(
+    /// Returns since when a domain has been suspected, if its targets go behind those of others; `mine` tells whether it is this
+    /// instance's task to try it again, for the key that stands for it. Targets that started later are not concerned.
+    pub fn doubted_since(
         &self,
         now: Timestamp,
         domain: &str,
         handshake_timeout: Duration,
         mine: impl FnOnce(u64) -> bool,
-    ) -> bool {
+    ) -> Option<Timestamp> {
         let domain = key(domain);
-        self.domains.is_suspected(domain)
-            && self.domains.trust(now, domain, handshake_timeout, || mine(domain)) != Trust::Full
+        let suspected = self.domains.is_suspected(domain);
+        let doubted = suspected && self.domains.trust(now, domain, handshake_timeout, || mine(domain)) != Trust::Full;
+        doubted.then(|| self.suspected_since.get(&domain).copied().unwrap_or(now))
     }
 
     /// Tells whether a domain has answered here so lately that one silent target says nothing of the others.
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -109,7 +109,7 @@
             let cost = (self.cost(now, target), rendezvous::score(hash, target.id), target.id);
             let place = match self.outliers.trust(now, target.id, self.handshake_timeout, || self.is_mine(target.id)) {
                 Trust::Full if self.failures.is_aside(now, target.id, || self.is_mine(target.id)) => &mut best_doubted,
-                Trust::Full if domains.contains(self, now, &target.facts.failure_domain, tried) => &mut best_doubted,
+                Trust::Full if domains.contains(self, now, target, tried) => &mut best_doubted,
                 Trust::Full => &mut best,
                 Trust::Doubted => &mut best_doubted,
                 Trust::Silent if self.outliers.may_try_last(now, target.id) => &mut best_silent,
@@ -131,15 +131,20 @@
         }
     }
 
-    /// Tells whether targets of a failure domain go behind others: the domain seems not to answer, or one of its targets
-    /// did not finish this flow's handshake and none has answered since.
-    fn is_domain_doubted(&self, now: Timestamp, domain: &str, tried: &[TargetId]) -> bool {
+    /// Returns which targets of a failure domain go behind others.
+    ///
+    /// All do if one of its targets did not finish this flow's handshake and none has answered since; those that the domain
+    /// had before it came under suspicion do while it is.
+    fn doubt(&self, now: Timestamp, domain: &str, tried: &[TargetId]) -> Option<Doubt> {
         if !self.mechanisms.has(Mechanism::DomainReach) {
-            return false;
+            return None;
         }
         let of_domain = |id: &TargetId| self.directory.target(*id).is_some_and(|t| t.facts.failure_domain == domain);
-        let failed = tried.iter().any(of_domain) && !self.domains.answers(now, domain);
-        failed || self.domains.is_doubted(now, domain, self.handshake_timeout, |key| self.is_mine(key))
+        if tried.iter().any(of_domain) && !self.domains.answers(now, domain) {
+            return Some(Doubt::All);
+        }
+        let mine = |key| self.is_mine(key);
+        self.domains.doubted_since(now, domain, self.handshake_timeout, mine).map(Doubt::KnownBefore)
     }
 
     /// Tells whether a target is cold by its entry, or may be since it was silent.
@@ -193,18 +198,33 @@
     }
 }
 
+/// Which targets of a failure domain go behind others.
+#[derive(Clone, Copy, Debug)]
+enum Doubt {
+    /// All of them.
+    All,
+    /// Those that were known at this time: the domain came under suspicion then.
+    KnownBefore(Timestamp),
+}
+
 /// Failure domains judged once for one flow, however many targets they have.
 #[derive(Debug, Default)]
-struct DoubtedDomains<'a>(Vec<(&'a str, bool)>);
+struct DoubtedDomains<'a>(Vec<(&'a str, Option<Doubt>)>);
 
 impl<'a> DoubtedDomains<'a> {
-    fn contains(&mut self, placement: &Placement<'_>, now: Timestamp, domain: &'a str, tried: &[TargetId]) -> bool {
-        if let Some((_, doubted)) = self.0.iter().find(|(known, _)| *known == domain) {
-            return *doubted;
+    fn contains(&mut self, placement: &Placement<'_>, now: Timestamp, target: &'a Target, tried: &[TargetId]) -> bool {
+        let domain = target.facts.failure_domain.as_str();
+        let known = self.0.iter().find(|(known, _)| *known == domain).map(|(_, doubt)| *doubt);
+        let doubt = known.unwrap_or_else(|| {
+            let doubt = placement.doubt(now, domain, tried);
+            self.0.push((domain, doubt));
+            doubt
+        });
+        match doubt {
+            None => false,
+            Some(Doubt::All) => true,
+            Some(Doubt::KnownBefore(since)) => target.known_since <= since,
         }
-        let doubted = placement.is_domain_doubted(now, domain, tried);
-        self.0.push((domain, doubted));
-        doubted
     }
 }
 
--- a/crates/core/src/direct/steering/following.rs
+++ b/crates/core/src/direct/steering/following.rs
@@ -149,9 +149,8 @@
             self.recovered(now, target);
         }
         if let Some(target) = self.directory.target(target) {
-            let domain = &target.facts.failure_domain;
-            if self.domains.answered(now, domain) {
-                self.report.alive_domains.push(domain.clone());
+            if self.domains.answered(now, target) {
+                self.report.alive_domains.push(target.facts.failure_domain.clone());
             }
         }
         self.note_alive(now, target);
--- a/crates/core/src/direct/steering/opening.rs
+++ b/crates/core/src/direct/steering/opening.rs
@@ -222,9 +222,9 @@
         if !self.has(Mechanism::DomainReach) {
             return;
         }
-        let Some(domain) = self.directory.target(target).map(|target| &target.facts.failure_domain) else { return };
-        if let Some(avoidance) = self.domains.unanswered(now, domain, target, sent) {
-            self.report.avoid_domains.push((domain.clone(), avoidance));
+        let Some(target) = self.directory.target(target) else { return };
+        if let Some(avoidance) = self.domains.unanswered(now, target, sent) {
+            self.report.avoid_domains.push((target.facts.failure_domain.clone(), avoidance));
         }
     }
 
--- a/crates/core/tests/direct/domain_loss.rs
+++ b/crates/core/tests/direct/domain_loss.rs
@@ -83,3 +83,24 @@
     let (in_time, _) = sim.served(secs(9), secs(11) + ms(500));
     assert!(in_time > 0.98, "{in_time}");
 }
+
+/// The targets come back as new ones while the entries of the old ones are still listed. They have just registered, so they are
+/// none of those that do not answer, and must not wait until the old entries lapse and somebody tries the domain again.
+#[test]
+fn targets_that_register_after_the_loss_are_used_at_once() {
+    let mut sim = fleet(7);
+    let near = (0..TARGETS).filter(|index| index % DOMAINS == LOST);
+    for index in near {
+        sim.targets.get_mut(&target_id(index)).unwrap().alive = false;
+    }
+    sim.run_until(secs(6));
+    let new: Vec<usize> = (TARGETS..TARGETS + 240).filter(|index| index % DOMAINS == LOST).collect();
+    sim.add_targets(&new, 12);
+    let opened = |sim: &Sim| -> usize { new.iter().map(|index| sim.targets[&target_id(*index)].opened.len()).sum() };
+    sim.run_until(secs(7));
+    let before = opened(&sim);
+    sim.run_until(secs(9));
+    let got = opened(&sim) - before;
+    let asked = sim.requests.iter().filter(|request| request.asked >= secs(7)).count() / DOMAINS;
+    assert!(got * 10 >= asked * 8, "{got} of {asked}");
+}
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -49,6 +49,7 @@
 use hawthornshift_core::direct::steering::Steering;
 use hawthornshift_core::direct::steering::SteeringConfig;
 use hawthornshift_core::membership::Identity;
+use hawthornshift_model::Revision;
 use hawthornshift_model::TargetId;
 
 pub const SERVICE: &str = "orders";
@@ -85,7 +86,8 @@
 }
 
 pub fn target_facts(index: usize, cold_for: Duration) -> TargetFacts {
-    let address = SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, u8::try_from(index).unwrap()), 8_000);
+    let [high, low] = u16::try_from(index).unwrap().to_be_bytes();
+    let address = SocketAddrV4::new(Ipv4Addr::new(10, 9, high, low), 8_000);
     let (service, failure_domain) = (SERVICE.to_owned(), domain(index));
     TargetFacts { service, address, failure_domain, slots: 2, draining: false, cold_for, born: 0 }
 }
@@ -147,6 +149,20 @@
     pub opened: Vec<Timestamp>,
 }
 
+impl Default for SimTarget {
+    fn default() -> Self {
+        Self {
+            alive: true,
+            slow: 1.0,
+            fails: 0.0,
+            busy: 0,
+            queue: VecDeque::new(),
+            flows: BTreeMap::new(),
+            opened: Vec::new(),
+        }
+    }
+}
+
 /// One request of a caller.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -246,15 +262,6 @@
 
 impl Sim {
     pub fn new(seed: u64, instances: usize, targets: usize, per_second: f64) -> Self {
-        let sim_target = |_| SimTarget {
-            alive: true,
-            slow: 1.0,
-            fails: 0.0,
-            busy: 0,
-            queue: VecDeque::new(),
-            flows: BTreeMap::new(),
-            opened: Vec::new(),
-        };
         let mut sim = Self {
             now: Timestamp::ZERO,
             events: BinaryHeap::new(),
@@ -263,7 +270,7 @@
             rng: SmallRng::seed_from_u64(seed),
             instances: (0..instances).map(|_| None).collect(),
             life: 0,
-            targets: (0..targets).map(|index| (target_id(index), sim_target(index))).collect(),
+            targets: (0..targets).map(|index| (target_id(index), SimTarget::default())).collect(),
             requests: Vec::new(),
             by_flow: BTreeMap::new(),
             next_port: 0,
@@ -351,6 +358,14 @@
         }
     }
 
+    /// Starts more targets, and tells every instance that is up of them, at a revision.
+    pub fn add_targets(&mut self, indices: &[usize], revision: Revision) {
+        self.targets.extend(indices.iter().map(|index| (target_id(*index), SimTarget::default())));
+        let fact = |index: &usize| Fact::Target(target_id(*index), Some(target_facts(*index, Duration::ZERO)));
+        let facts = indices.iter().map(|index| Versioned { revision, fact: fact(index) }).collect();
+        self.publish(&Delta { since: revision - 1, revision, whole: false, facts });
+    }
+
     /// Makes the fabric hand each caller to an instance of its own failure domain that says it is ready, or, while none
     /// does, to one elsewhere.
     pub fn route_by_readiness(&mut self) {
