--- a/crates/core/src/direct/steering/following.rs
+++ b/crates/core/src/direct/steering/following.rs
@@ -148,10 +148,10 @@
         if self.outliers.answered(now, target) {
             self.recovered(now, target);
         }
-        if let Some(target) = self.directory.target(target) {
-            if self.domains.answered(now, target) {
-                self.report.alive_domains.push(target.facts.failure_domain.clone());
-            }
+        if let Some(target) = self.directory.target(target)
+            && self.domains.answered(now, target)
+        {
+            self.report.alive_domains.push(target.facts.failure_domain.clone());
         }
         self.note_alive(now, target);
         if first {
