A fleet that starts for the first time reads the store once

Until somebody knew, all asked each other at random, a connection each time for an answer that said nothing.

At a first start the store is read after one second, when the members know each other, by one instance at a time. Peers that have not said that they know anything are asked only 0.3 s after the store could have been read.

--- a/crates/core/src/direct/starting.rs
+++ b/crates/core/src/direct/starting.rs
@@ -17,11 +17,13 @@
 /// Time after which an instance that no peer has told everything reads the store itself. A peer's answer takes 2 ms
 /// to 10 ms; after a power loss nobody has one, and every millisecond more is one in which nothing is served.
 const READ_AFTER: Duration = Duration::from_millis(15);
-/// The same when the whole fleet starts for the first time, seconds before its callers: drawn up to this, so that
-/// those who start first can tell the others.
-const READ_AFTER_FIRST_START: Duration = Duration::from_millis(900);
+/// The same when the whole fleet starts for the first time, seconds before its callers. By then its instances know each other,
+/// so that one of them reads the store and the others are told.
+const READ_AFTER_FIRST_START: Duration = Duration::from_secs(1);
 /// Time between two questions to peers.
 const ASK_PERIOD: Duration = Duration::from_millis(60);
+/// Time after the store may be read from which on peers are asked that have not said that they know anything.
+const ASK_ANYBODY_AFTER: Duration = Duration::from_millis(300);
 /// Time between two looks for a peer while none is known.
 const LOOK_PERIOD: Duration = Duration::from_millis(10);
 /// Time after which another peer is asked when one is busy with others, which it says at once; drawn up to twice this, so that
@@ -45,6 +47,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Starting {
     read_after: Timestamp,
+    /// Instances that read the store at the same time.
+    readers: u32,
+    ask_anybody_after: Timestamp,
     slow_link: bool,
     next_ask: Timestamp,
 }
@@ -53,9 +58,11 @@
     /// Begins at time zero; `draw` between zero and one spreads those that start together.
     #[must_use]
     pub fn new(first_start: bool, link_mbps: f64, draw: f64) -> Self {
-        let spread = if first_start { READ_AFTER_FIRST_START } else { READ_AFTER };
+        let (read_after, readers) = if first_start { (READ_AFTER_FIRST_START, 1) } else { (READ_AFTER, READERS) };
         Self {
-            read_after: READ_AFTER + spread.mul_f64(draw),
+            read_after: read_after + READ_AFTER.mul_f64(draw),
+            readers,
+            ask_anybody_after: read_after + ASK_ANYBODY_AFTER,
             slow_link: link_mbps < SLOW_LINK,
             next_ask: Timestamp::ZERO,
         }
@@ -88,14 +95,15 @@
         if now < self.next_ask {
             return None;
         }
-        let peer = informed.choose(rng).or_else(|| others.choose(rng)).copied();
+        let anybody = if now < self.ask_anybody_after { &[] } else { others };
+        let peer = informed.choose(rng).or_else(|| anybody.choose(rng)).copied();
         self.next_ask = now + if peer.is_some() { ASK_PERIOD } else { LOOK_PERIOD };
         peer
     }
 
     /// Tells whether to read the store now; `rank` counts the known instances that go before this one.
     pub fn reads_store(&mut self, now: Timestamp, rank: u32, duty: &WatchDuty) -> bool {
-        let turn = (TURN * (rank / READERS)).min(LAST_TURN);
+        let turn = (TURN * (rank / self.readers)).min(LAST_TURN);
         let slow_link_wait = if rank > 0 && self.slow_link { SLOW_LINK_WAIT } else { Duration::ZERO };
         let due = self.read_after + turn + slow_link_wait;
         let overdue = now >= due + ASK_NO_LONGER && !duty.is_watching();
--- a/crates/core/tests/direct/starting.rs
+++ b/crates/core/tests/direct/starting.rs
@@ -50,6 +50,18 @@
     assert!(within(ms(1_000)) <= 20, "{}", within(ms(1_000)));
 }
 
+/// A whole fleet starts for the first time, seconds before its callers come. Read by two dozen instances that do not know each
+/// other yet, the store answers hundreds of calls, all of which are counted; one reader is enough.
+#[test]
+fn a_fleet_that_starts_for_the_first_time_has_one_reader() {
+    let read = |rank: u32| first_read(&mut Starting::new(true, FAST, 0.5), rank);
+    let reads: Vec<Timestamp> = (0..296).map(read).collect();
+    assert!(reads[0] <= ms(1_100), "{:?}", reads[0]);
+    let first = reads.iter().min().copied().unwrap();
+    let together = reads.iter().filter(|at| **at < first + ms(200)).count();
+    assert_eq!(together, 1);
+}
+
 /// An instance that starts alone in a running fleet asks peers. One that knows nothing cannot help, so those that have
 /// said what they know are asked first, and not always the same one.
 #[test]
@@ -89,6 +101,15 @@
     assert!(starting.ask(ms(10), &addresses(1), &[], &mut rng).is_some());
 }
 
+/// All instances start together and none knows anything. Whoever asks the others all the same fills their connections with
+/// answers that say nothing.
+#[test]
+fn peers_that_have_said_nothing_are_asked_only_in_need() {
+    let (mut starting, mut rng) = (Starting::new(false, FAST, 0.5), SmallRng::seed_from_u64(5));
+    assert_eq!(starting.ask(ms(20), &[], &addresses(40), &mut rng), None);
+    assert!(starting.ask(ms(400), &[], &addresses(40), &mut rng).is_some());
+}
+
 /// The first instances to read the store die before they have told anybody. The others do not wait for them for good.
 #[test]
 fn an_instance_that_nobody_tells_reads_the_store_in_the_end() {
