--- a/crates/core/benches/support/mod.rs
+++ b/crates/core/benches/support/mod.rs
@@ -1,5 +1,5 @@
-//! Sets and nodes of any size, for benches and the slopes example.
-#![allow(dead_code, unreachable_pub, reason = "a bench and an example each use their own part")]
+//! Sets and nodes of any size, for the benches.
+#![allow(unreachable_pub, reason = "a module of a bench")]
 
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
