One piece of code where several did the same: backoff, end of a suspicion, lists of a report, sites of the scripts

Four backoffs were written out (targets that do not answer, rechecks, targets set aside, reads of the platform); backoff::doubled serves them, and the caps on doublings that differed were beyond the longest time in each. A suspicion of a target ended in three places by copying a record with other fields kept; Record::clear resets what a suspicion is. A load report named its eleven lists in three places, where one forgotten would be lost in silence: a macro names them once and a missing one does not compile. Four loops over news of members are Membership::absorb_all.

--- a/crates/core/examples/ablation.rs
+++ b/crates/core/examples/ablation.rs
@@ -14,7 +14,6 @@
 
 use crate::fleet::Sim;
 use crate::fleet::ms;
-use crate::fleet::target_id;
 use hawthornshift_core::direct::mechanisms::Mechanism;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
 
@@ -44,12 +43,6 @@
     Duration::from_secs(seconds)
 }
 
-fn hit(sim: &mut Sim, act: impl Fn(&mut fleet::SimTarget)) {
-    for index in HIT {
-        act(sim.targets.get_mut(&target_id(index)).expect("every case has these targets"));
-    }
-}
-
 fn power_loss(sim: &mut Sim) -> (Duration, Duration) {
     sim.run_until(secs(4));
     for index in 0..9 {
@@ -64,7 +57,7 @@
 fn slow_targets(sim: &mut Sim) -> (Duration, Duration) {
     sim.per_second = 334.0;
     sim.run_until(secs(3));
-    hit(sim, |target| target.slow = 5.0);
+    sim.change_targets(HIT, |target| target.slow = 5.0);
     sim.run_until(secs(13));
     (secs(4), secs(12))
 }
@@ -89,7 +82,7 @@
 
 fn dead_targets(sim: &mut Sim) -> (Duration, Duration) {
     sim.run_until(secs(4));
-    hit(sim, |target| target.alive = false);
+    sim.change_targets(HIT, |target| target.alive = false);
     sim.run_until(secs(9));
     (secs(4), secs(8))
 }
@@ -98,7 +91,7 @@
     sim.keep_flows(300);
     sim.per_second = 300.0;
     sim.run_until(secs(6));
-    hit(sim, |target| target.alive = false);
+    sim.change_targets(HIT, |target| target.alive = false);
     sim.run_until(secs(12));
     (secs(6), secs(9))
 }
@@ -115,7 +108,7 @@
 
 fn failing_targets(sim: &mut Sim) -> (Duration, Duration) {
     sim.run_until(secs(4));
-    hit(sim, |target| target.fails = 1.0);
+    sim.change_targets(HIT, |target| target.fails = 1.0);
     sim.run_until(secs(10));
     (secs(4), secs(9))
 }
--- a/crates/core/src/direct/failures.rs
+++ b/crates/core/src/direct/failures.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::Timestamp;
+use crate::backoff;
 use crate::maps::Map;
 use hawthornshift_model::TargetId;
 
@@ -89,7 +90,7 @@
         if record.failing < MANY || now < record.aside_until {
             return false;
         }
-        let aside = (FIRST_ASIDE * 2_u32.pow(record.times_aside.min(4))).min(LONGEST_ASIDE);
+        let aside = backoff::doubled(FIRST_ASIDE, record.times_aside, LONGEST_ASIDE);
         record.times_aside += 1;
         record.failing = ON_TRIAL;
         record.aside_until = now + aside;
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -243,9 +243,7 @@
 
     /// Takes over the members that a peer has handed over to this instance when it started.
     pub fn adopt(&mut self, now: Timestamp, members: &[MemberUpdate]) -> Vec<FleetEffect> {
-        for update in members {
-            self.membership.absorb(now, update);
-        }
+        self.membership.absorb_all(now, members);
         self.changes(now).into_iter().collect()
     }
 
@@ -315,9 +313,7 @@
 
     /// Takes over what a heartbeat brings, and tells how its sender's view compares to the one here.
     fn absorb(&mut self, now: Timestamp, sender: &MemberUpdate, heartbeat: &Heartbeat, revision: Revision) -> PeerView {
-        for update in &heartbeat.members {
-            self.membership.absorb(now, update);
-        }
+        self.membership.absorb_all(now, &heartbeat.members);
         if heartbeat.revision > 0 {
             self.note_informed(sender.control);
             self.duty.hear_of(now, heartbeat.age);
@@ -354,9 +350,7 @@
 
     fn absorb_view(&mut self, now: Timestamp, members: &[MemberUpdate]) {
         let before = self.membership.digest();
-        for update in members {
-            self.membership.absorb(now, update);
-        }
+        self.membership.absorb_all(now, members);
         if self.membership.digest() != before {
             self.view_sync.gained();
         }
--- a/crates/core/src/direct/load_report.rs
+++ b/crates/core/src/direct/load_report.rs
@@ -80,6 +80,41 @@
     pub returning: Vec<(Cookie, Duration)>,
 }
 
+/// Generates what has to be done for each list of a report, so that none can be forgotten.
+macro_rules! lists {
+    ($($list:ident,)*) => {
+        impl LoadReport {
+            fn len(&self) -> usize {
+                let Self { $($list),* } = self;
+                0 $(+ $list.len())*
+            }
+
+            fn split(self) -> Vec<Self> {
+                let Self { $($list),* } = self;
+                let mut parts = Vec::new();
+                $(
+                    parts.extend($list.chunks(MAX_ENTRIES).map(|part| Self { $list: part.to_vec(), ..Self::default() }));
+                )*
+                parts
+            }
+        }
+    };
+}
+
+lists! {
+    started,
+    ended,
+    given_up,
+    failed,
+    avoid,
+    avoid_domains,
+    alive_domains,
+    unreached,
+    confirmed,
+    alive,
+    returning,
+}
+
 impl LoadReport {
     /// Tells whether there is nothing to tell.
     #[must_use]
@@ -87,41 +122,9 @@
         self.len() == 0
     }
 
-    fn len(&self) -> usize {
-        let flows = self.started.len() + self.ended.len() + self.given_up.len();
-        flows
-            + self.failed.len()
-            + self.avoid.len()
-            + self.avoid_domains.len()
-            + self.alive_domains.len()
-            + self.alive.len()
-            + self.returning.len()
-            + self.unreached.len()
-            + self.confirmed.len()
-    }
-
     /// Splits the report into parts that fit a datagram each.
     #[must_use]
     pub fn parts(self) -> Vec<Self> {
-        if self.len() <= MAX_ENTRIES {
-            return vec![self];
-        }
-        let mut parts = split(&self.started, |started| Self { started, ..Self::default() });
-        parts.extend(split(&self.ended, |ended| Self { ended, ..Self::default() }));
-        parts.extend(split(&self.given_up, |given_up| Self { given_up, ..Self::default() }));
-        parts.extend(split(&self.failed, |failed| Self { failed, ..Self::default() }));
-        parts.extend(split(&self.avoid, |avoid| Self { avoid, ..Self::default() }));
-        parts.extend(split(&self.avoid_domains, |avoid_domains| Self { avoid_domains, ..Self::default() }));
-        parts.extend(split(&self.alive_domains, |alive_domains| Self { alive_domains, ..Self::default() }));
-        parts.extend(split(&self.unreached, |unreached| Self { unreached, ..Self::default() }));
-        parts.extend(split(&self.confirmed, |confirmed| Self { confirmed, ..Self::default() }));
-        parts.extend(split(&self.alive, |alive| Self { alive, ..Self::default() }));
-        parts.extend(split(&self.returning, |returning| Self { returning, ..Self::default() }));
-        parts
+        if self.len() <= MAX_ENTRIES { vec![self] } else { self.split() }
     }
 }
-
-/// Makes a report of each part of a list that fits a datagram.
-fn split<T: Clone>(list: &[T], report: impl Fn(Vec<T>) -> LoadReport) -> Vec<LoadReport> {
-    list.chunks(MAX_ENTRIES).map(|part| report(part.to_vec())).collect()
-}
--- a/crates/core/src/direct/outlier.rs
+++ b/crates/core/src/direct/outlier.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use crate::Timestamp;
+use crate::backoff;
 use crate::maps::Map;
 use hawthornshift_model::TargetId;
 
@@ -63,6 +64,14 @@
         self.unfinished >= TELL_AFTER
     }
 
+    /// Ends a suspicion by a sign of life.
+    fn clear(&mut self, now: Timestamp) {
+        self.unfinished = 0;
+        self.avoid_until = Timestamp::ZERO;
+        self.trial = None;
+        self.last_sign = now;
+    }
+
     /// Tells whether a sign of life should be told now, and takes it as told if so.
     fn owes_sign(&mut self, now: Timestamp) -> bool {
         let told = self.told_alive.is_some_and(|at| now.saturating_sub(at) < TELL_ALIVE);
@@ -101,9 +110,8 @@
     pub fn answered(&mut self, now: Timestamp, target: TargetId) -> bool {
         let record = self.records.entry(target).or_default();
         let back = record.is_silent(now);
-        let Record { returning_until, watched_until, told_alive, .. } = *record;
-        let kept = Record { returning_until, watched_until, told_alive, ..Record::default() };
-        *record = Record { last_answer: Some(now), last_sign: now, ..kept };
+        record.clear(now);
+        record.last_answer = Some(now);
         back
     }
 
@@ -122,18 +130,15 @@
     /// Ends a suspicion by the word of a peer that has been answered.
     pub fn clear(&mut self, now: Timestamp, target: TargetId) {
         if let Some(record) = self.records.get_mut(&target) {
-            let Record { last_answer, returning_until, .. } = *record;
-            *record = Record { last_answer, last_sign: now, returning_until, ..Record::default() };
+            record.clear(now);
         }
     }
 
     /// Counts a target as cold for a while.
     pub fn return_slowly(&mut self, now: Timestamp, target: TargetId, cold_time: Duration) {
         let record = self.records.entry(target).or_default();
-        let until = record.returning_until.max(now + cold_time);
-        let Record { last_answer, watched_until, told_alive, .. } = *record;
-        let kept = Record { last_answer, watched_until, told_alive, ..Record::default() };
-        *record = Record { last_sign: now, returning_until: until, ..kept };
+        record.clear(now);
+        record.returning_until = record.returning_until.max(now + cold_time);
     }
 
     /// Notes that a target has answered here; tells whether the others should hear of it, since somebody suspects it.
@@ -168,10 +173,10 @@
             return None;
         }
         record.unfinished += 1;
-        let doublings = record.unfinished.saturating_sub(TELL_AFTER).min(4);
+        let doublings = record.unfinished.saturating_sub(TELL_AFTER);
         let avoidance = match record.unfinished {
             1 => FIRST_AVOIDANCE,
-            _ => (AVOIDANCE * 2_u32.pow(doublings)).min(LONGEST_AVOIDANCE),
+            _ => backoff::doubled(AVOIDANCE, doublings, LONGEST_AVOIDANCE),
         };
         record.avoid_until = record.avoid_until.max(now + avoidance);
         if record.is_suspected() {
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -149,7 +149,7 @@
 
     /// Tells whether a target is cold by its entry, or may be since it was silent.
     ///
-    /// Where more than a third of a service's targets come back together, a partition has healed or this instance had
+    /// Where more than a third of a service's targets come back together, a partition has healed or this instance
     /// was paused, and they are warm; without them the rest would be overloaded.
     #[must_use]
     pub fn is_cold(&self, now: Timestamp, target: &Target) -> bool {
--- a/crates/core/src/direct/reachability.rs
+++ b/crates/core/src/direct/reachability.rs
@@ -17,6 +17,7 @@
 use strum::IntoStaticStr;
 
 use crate::Timestamp;
+use crate::backoff;
 use crate::maps::Map;
 use hawthornshift_model::TargetId;
 
@@ -264,7 +265,7 @@
             self.answered(now, target);
             return Finding::Alive;
         }
-        // A process that stood still has not read what the target sent meanwhile.
+        // A process that was paused has not read what the target sent meanwhile.
         let paused = now.saturating_sub(began) >= CHECK_LIMIT + STALL;
         let control_failed = self.accepted.is_none_or(|at| at < began);
         if paused || control_failed || record.last_sign >= began {
@@ -279,8 +280,7 @@
             return Finding::OutOfReach;
         }
         // The second check follows at once; after that others have answered, or cannot be reached either.
-        let doublings = record.failed.saturating_sub(ALONE).min(4);
-        let pause = (RECHECK_FIRST * 2_u32.pow(doublings)).min(RECHECK_LONGEST);
+        let pause = backoff::doubled(RECHECK_FIRST, record.failed.saturating_sub(ALONE), RECHECK_LONGEST);
         record.next_check = if record.failed < ALONE { now } else { now + pause };
         if record.out_of_reach { Finding::StillOutOfReach } else { Finding::Failed }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`invariants`] asserts what must always hold, counted in release and fatal in tests.
 
 pub mod attempt;
+mod backoff;
 pub mod catalog;
 pub mod configuration;
 pub mod direct;
--- a/crates/core/src/membership/dissemination.rs
+++ b/crates/core/src/membership/dissemination.rs
@@ -50,6 +50,11 @@
     pub fn news(&mut self, to: InstanceId, view: PeerView) -> Vec<MemberUpdate> {
         let believed = self.member(to).filter(|update| update.state > MemberState::Alive);
         let mut news: Vec<MemberUpdate> = believed.cloned().into_iter().collect();
+        if view == PeerView::Same {
+            let others = self.members.iter_mut().filter(|(id, _)| **id != to);
+            others.for_each(|(_, member)| member.sends_left = member.sends_left.saturating_sub(1));
+            return news;
+        }
         let mut room = NEWS_ROOM.saturating_sub(news.iter().map(MemberUpdate::encoded_bound).sum());
         let mut pending: Vec<(Reverse<u32>, InstanceId)> = self
             .members
@@ -60,10 +65,6 @@
         pending.sort_unstable();
         for (_, id) in pending {
             let Some(member) = self.members.get_mut(&id) else { continue };
-            if view == PeerView::Same {
-                member.sends_left -= 1;
-                continue;
-            }
             let bytes = member.update.encoded_bound();
             if bytes > room {
                 break;
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -278,6 +278,13 @@
         }
     }
 
+    /// Takes over news of several instances.
+    pub fn absorb_all(&mut self, now: Timestamp, updates: &[MemberUpdate]) {
+        for update in updates {
+            self.absorb(now, update);
+        }
+    }
+
     /// Takes over news of an instance if it is newer than what is known.
     pub fn absorb(&mut self, now: Timestamp, update: &MemberUpdate) {
         if update.id == self.me.id {
--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -11,6 +11,7 @@
 use rand::rngs::SmallRng;
 
 use crate::Timestamp;
+use crate::backoff;
 use crate::event::Resource;
 use crate::maps::Map;
 use crate::message::MemberUpdate;
@@ -106,7 +107,7 @@
         let Some(schedule) = self.schedules.get_mut(&resource) else { return };
         schedule.outstanding = None;
         let longest = if watches { WATCHER_BACKOFF } else { READER_BACKOFF };
-        let pause = FIRST_BACKOFF.saturating_mul(1 << schedule.failures.min(16)).min(longest);
+        let pause = backoff::doubled(FIRST_BACKOFF, schedule.failures, longest);
         schedule.failures = schedule.failures.saturating_add(1);
         schedule.next = now + pause.mul_f64(rng.random_range(0.5..1.0));
     }
--- a/crates/core/tests/direct/domain_loss.rs
+++ b/crates/core/tests/direct/domain_loss.rs
@@ -1,5 +1,6 @@
 //! A failure domain whose targets are lost or cut off all at once, in a fleet with many targets and few requests for each.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use crate::fleet::DOMAINS;
@@ -17,6 +18,21 @@
     Duration::from_secs(seconds)
 }
 
+/// Returns those of some targets that lie in the domain that is lost.
+fn near(targets: Range<usize>) -> Vec<usize> {
+    targets.filter(|index| index % DOMAINS == LOST).collect()
+}
+
+/// Returns how many flows some targets have been given.
+fn opened(sim: &Sim, targets: &[usize]) -> usize {
+    targets.iter().map(|index| sim.targets[&target_id(*index)].opened.len()).sum()
+}
+
+/// Returns how many callers of one domain have asked since a time.
+fn asked_since(sim: &Sim, since: Duration) -> usize {
+    sim.requests.iter().filter(|request| request.asked >= since).count() / DOMAINS
+}
+
 fn fleet(seed: u64) -> Sim {
     let mut sim = Sim::new(seed, INSTANCES, TARGETS, FEW);
     sim.route_by_readiness();
@@ -31,9 +47,7 @@
     let (mut in_time, mut at_all) = (0.0, 0.0);
     for seed in 0..4 {
         let mut sim = fleet(seed);
-        for index in (0..TARGETS).filter(|index| index % DOMAINS == LOST) {
-            sim.targets.get_mut(&target_id(index)).unwrap().alive = false;
-        }
+        sim.change_targets(near(0..TARGETS), |target| target.alive = false);
         sim.run_until(secs(10));
         let served = sim.served(secs(4), secs(8));
         in_time += served.0 / 4.0;
@@ -48,15 +62,11 @@
 #[test]
 fn one_dead_target_keeps_nobody_from_its_neighbours() {
     let mut sim = fleet(5);
-    sim.targets.get_mut(&target_id(LOST)).unwrap().alive = false;
-    let opened = |sim: &Sim| -> usize {
-        let near = (0..TARGETS).filter(|index| index % DOMAINS == LOST);
-        near.map(|index| sim.targets[&target_id(index)].opened.len()).sum()
-    };
-    let before = opened(&sim);
+    sim.change_targets([LOST], |target| target.alive = false);
+    let before = opened(&sim, &near(0..TARGETS));
     sim.run_until(secs(10));
-    let got = opened(&sim) - before;
-    let asked = sim.requests.iter().filter(|request| request.asked >= secs(4)).count() / DOMAINS;
+    let got = opened(&sim, &near(0..TARGETS)) - before;
+    let asked = asked_since(&sim, secs(4));
     assert!(got * 10 >= asked * 8, "{got} of {asked}");
 }
 
@@ -65,20 +75,15 @@
 #[test]
 fn a_domain_that_answers_again_is_used_again() {
     let mut sim = fleet(6);
-    let near: Vec<usize> = (0..TARGETS).filter(|index| index % DOMAINS == LOST).collect();
-    for index in &near {
-        sim.targets.get_mut(&target_id(*index)).unwrap().alive = false;
-    }
+    let near = near(0..TARGETS);
+    sim.change_targets(near.clone(), |target| target.alive = false);
     sim.run_until(secs(6));
-    for index in &near {
-        sim.targets.get_mut(&target_id(*index)).unwrap().alive = true;
-    }
+    sim.change_targets(near.clone(), |target| target.alive = true);
     sim.run_until(secs(9));
-    let opened = |sim: &Sim| -> usize { near.iter().map(|index| sim.targets[&target_id(*index)].opened.len()).sum() };
-    let before = opened(&sim);
+    let before = opened(&sim, &near);
     sim.run_until(secs(12));
-    let got = opened(&sim) - before;
-    let asked = sim.requests.iter().filter(|request| request.asked >= secs(9)).count() / DOMAINS;
+    let got = opened(&sim, &near) - before;
+    let asked = asked_since(&sim, secs(9));
     assert!(got * 10 >= asked * 8, "{got} of {asked}");
     let (in_time, _) = sim.served(secs(9), secs(11) + ms(500));
     assert!(in_time > 0.98, "{in_time}");
@@ -89,18 +94,14 @@
 #[test]
 fn targets_that_register_after_the_loss_are_used_at_once() {
     let mut sim = fleet(7);
-    let near = (0..TARGETS).filter(|index| index % DOMAINS == LOST);
-    for index in near {
-        sim.targets.get_mut(&target_id(index)).unwrap().alive = false;
-    }
+    sim.change_targets(near(0..TARGETS), |target| target.alive = false);
     sim.run_until(secs(6));
-    let new: Vec<usize> = (TARGETS..TARGETS + 240).filter(|index| index % DOMAINS == LOST).collect();
+    let new = near(TARGETS..TARGETS + 240);
     sim.add_targets(&new, 12);
-    let opened = |sim: &Sim| -> usize { new.iter().map(|index| sim.targets[&target_id(*index)].opened.len()).sum() };
     sim.run_until(secs(7));
-    let before = opened(&sim);
+    let before = opened(&sim, &new);
     sim.run_until(secs(9));
-    let got = opened(&sim) - before;
-    let asked = sim.requests.iter().filter(|request| request.asked >= secs(7)).count() / DOMAINS;
+    let got = opened(&sim, &new) - before;
+    let asked = asked_since(&sim, secs(7));
     assert!(got * 10 >= asked * 8, "{got} of {asked}");
 }
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -358,6 +358,13 @@
         }
     }
 
+    /// Changes targets by their numbers.
+    pub fn change_targets(&mut self, indices: impl IntoIterator<Item = usize>, change: impl Fn(&mut SimTarget)) {
+        for index in indices {
+            change(self.targets.get_mut(&target_id(index)).unwrap());
+        }
+    }
+
     /// Starts more targets, and tells every instance that is up of them, at a revision.
     pub fn add_targets(&mut self, indices: &[usize], revision: Revision) {
         self.targets.extend(indices.iter().map(|index| (target_id(*index), SimTarget::default())));
--- a/crates/core/tests/direct/load.rs
+++ b/crates/core/tests/direct/load.rs
@@ -64,9 +64,7 @@
 fn targets_that_die_in_silence_cost_a_short_delay() {
     let mut sim = Sim::new(3, 9, 14, USUAL);
     sim.run_until(secs(4));
-    for index in [2, 9] {
-        sim.targets.get_mut(&target_id(index)).unwrap().alive = false;
-    }
+    sim.change_targets([2, 9], |target| target.alive = false);
     sim.run_until(secs(9));
     sim.check();
     let (in_time, at_all) = sim.served(secs(4) + ms(100), secs(8));
@@ -85,9 +83,7 @@
             let mut sim = Sim::new(seed, 9, 14, 334.0);
             sim.told = told;
             sim.run_until(secs(3));
-            for index in [1, 5, 9] {
-                sim.targets.get_mut(&target_id(index)).unwrap().slow = 5.0;
-            }
+            sim.change_targets([1, 5, 9], |target| target.slow = 5.0);
             sim.run_until(secs(13));
             sim.check();
             let served = sim.served(secs(4), secs(12));
@@ -109,9 +105,7 @@
     let reports_a_request = |per_second, slow| {
         let mut sim = Sim::new(21, 9, 14, per_second);
         sim.run_until(secs(3));
-        for index in [1, 5, 9] {
-            sim.targets.get_mut(&target_id(index)).unwrap().slow = slow;
-        }
+        sim.change_targets([1, 5, 9], |target| target.slow = slow);
         let (reports, asked) = (sim.reports, sim.requests.len());
         sim.run_until(secs(9));
         let (in_time, _) = sim.served(secs(4), secs(8));
@@ -136,9 +130,7 @@
     for seed in 20..24 {
         let mut sim = Sim::new(seed, 9, 14, 334.0);
         sim.run_until(secs(3));
-        for index in [1, 5, 9] {
-            sim.targets.get_mut(&target_id(index)).unwrap().slow = 5.0;
-        }
+        sim.change_targets([1, 5, 9], |target| target.slow = 5.0);
         sim.run_until(secs(13));
         in_time += sim.served(secs(4), secs(12)).0 / 4.0;
     }
@@ -151,9 +143,7 @@
 fn slow_targets_get_little_while_others_are_fast() {
     let mut sim = Sim::new(4, 9, 14, USUAL);
     sim.run_until(secs(3));
-    for index in [1, 4, 7, 10, 13] {
-        sim.targets.get_mut(&target_id(index)).unwrap().slow = 6.0;
-    }
+    sim.change_targets([1, 4, 7, 10, 13], |target| target.slow = 6.0);
     sim.run_until(secs(10));
     sim.check();
     let (in_time, at_all) = sim.served(secs(4), secs(9));
@@ -268,15 +258,11 @@
 fn targets_that_fail_at_once_draw_no_flows() {
     let mut sim = Sim::new(10, 9, 14, USUAL);
     sim.run_until(secs(4));
-    for index in [3, 8] {
-        sim.targets.get_mut(&target_id(index)).unwrap().fails = 1.0;
-    }
+    sim.change_targets([3, 8], |target| target.fails = 1.0);
     sim.run_until(secs(9));
     let asked = sim.requests.iter().filter(|request| request.asked >= secs(4) + ms(300)).count();
     let failed = sim.requests.iter().filter(|request| request.failed).count();
-    for index in [3, 8] {
-        sim.targets.get_mut(&target_id(index)).unwrap().fails = 0.0;
-    }
+    sim.change_targets([3, 8], |target| target.fails = 0.0);
     sim.run_until(secs(24));
     sim.check();
     assert!(failed * 100 < asked, "{failed} of {asked} requests failed");
@@ -296,9 +282,7 @@
         let mut sim = Sim::new(seed, 9, 14, 300.0);
         sim.keep_flows(300);
         sim.run_until(secs(6));
-        for index in [1, 5, 9] {
-            sim.targets.get_mut(&target_id(index)).unwrap().alive = false;
-        }
+        sim.change_targets([1, 5, 9], |target| target.alive = false);
         sim.run_until(secs(14));
         sim.check();
         let (_, just_then) = sim.served(secs(6), secs(6) + ms(300));
@@ -334,9 +318,7 @@
         let mut sim = Sim::new(seed, 9, 14, 380.0);
         sim.keep_flows(300);
         sim.run_until(secs(4));
-        for index in [1, 5, 9] {
-            sim.targets.get_mut(&target_id(index)).unwrap().slow = 8.0;
-        }
+        sim.change_targets([1, 5, 9], |target| target.slow = 8.0);
         for round in 0..4_u64 {
             let at = secs(5 + round);
             sim.run_until(at);
@@ -361,9 +343,7 @@
         let mut sim = Sim::new(seed, 9, 14, 150.0);
         sim.keep_flows(300);
         sim.run_until(secs(8));
-        for index in [1, 5, 9] {
-            sim.targets.get_mut(&target_id(index)).unwrap().alive = false;
-        }
+        sim.change_targets([1, 5, 9], |target| target.alive = false);
         sim.run_until(secs(12));
         sim.check();
         in_time += sim.served(secs(8) + ms(250), secs(10)).0 / 6.0;
