Flows that could not be served are rejected at once

Cause: a flow that found no room waited until its caller's attempt ended, 1.4 s, and was reset then or not served at all. Under lasting overload it took slots late from flows that could have been in time, and its caller learned nothing meanwhile. Change: a flow waits only if by the rate at which slots come free here (own open requests by the time that answers take) it can be served in time, or, late, if what new flows leave over serves it before its caller's attempt ends. Copies of SYNs do not count as new flows: they tell of an interruption that is over. Flows that become late are looked at again. A flow for which a target has room is no longer held back by flows of other services.

--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -35,6 +35,8 @@
     PendingQueue,
     /// While targets are overloaded an instance bounds what it has open there.
     AdaptiveLimit,
+    /// Flows that cannot be served by the rate at which slots come free are rejected at once.
+    Admission,
     /// Flows that can no longer be in time wait behind those that can.
     LateLast,
     /// A target gets a little more than its slots hold, so that none idles.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,7 +9,7 @@
 //! - [`placement`] picks a target, by [`work`] (what targets hold, told between instances in [`load_report`]), [`outlier`]
 //!   and [`domain_reach`] (which seem not to answer, single ones and whole failure domains), [`failures`] (which answer with failures) and [`handshake_timeout`] (how long a handshake may take).
 //! - [`reachability`] checks targets that owe answers, so that flows at those which are out of reach can be reset.
-//! - [`pending`] keeps flows for which no slot is free, [`concurrency_limit`] bounds what an instance sends while it is alone,
+//! - [`admission`] tells which flows may wait when no slot is free, [`pending`] keeps them, [`concurrency_limit`] bounds what an instance sends while it is alone,
 //!   [`adaptive_limit`] what it sends while targets are overloaded; [`flows`] are the records of those that pass through here.
 //! - [`readiness`] tells whether callers should be handed to this instance at all.
 //! - [`fleet`] is the other instances, [`watch`] who of them watches the store, [`message`] what they say.
@@ -19,6 +19,7 @@
 //! - [`decision`] is what logs and metrics show of all that.
 
 pub mod adaptive_limit;
+pub mod admission;
 pub mod concurrency_limit;
 pub mod decision;
 pub mod directory;
--- a/crates/core/src/direct/pending.rs
+++ b/crates/core/src/direct/pending.rs
@@ -4,13 +4,13 @@
 //! of SYNs come on top of the usual rate, or while a third of the targets is slow. A flow placed behind a full target
 //! could not be moved again, so it waits here, where the order can still be chosen. Flows that can still be answered
 //! within their latency objective go first and may use a target's reserve; those that cannot get what the others leave.
-//! Nothing is reset while it could still be served: a caller that is reset asks again at once, and its few retries are
-//! gone within a tenth of a second.
+//! Which flows may wait at all is decided in [`admission`](crate::direct::admission).
 
 use std::cmp::Reverse;
 use std::time::Duration;
 
 use crate::Timestamp;
+use crate::direct::admission::Ahead;
 use crate::direct::segment::FlowHash;
 use crate::direct::segment::Segment;
 use hawthornshift_model::TargetId;
@@ -132,10 +132,11 @@
         self.in_time.is_empty() && self.late.is_empty()
     }
 
-    /// Tells whether none waits that may still be in time.
+    /// Returns how many flows wait for a service.
     #[must_use]
-    pub fn none_in_time(&self) -> bool {
-        self.in_time.is_empty()
+    pub fn ahead(&self, service: &str) -> Ahead {
+        let count = |flows: &[PendingFlow]| flows.iter().filter(|waiting| waiting.service == service).count();
+        Ahead { in_time: count(&self.in_time), late: count(&self.late) }
     }
 
     /// Takes a flow in. Returns the least urgent of those that are late if there are more than `capacity`: it could
@@ -145,12 +146,9 @@
         if self.len() > capacity { self.late.pop().or_else(|| self.in_time.pop()) } else { None }
     }
 
-    /// Moves flows that can no longer be in time behind those that can.
-    pub fn age(&mut self, now: Timestamp) {
-        let late = self.in_time.extract_if(.., |waiting| waiting.is_late(now)).collect::<Vec<_>>();
-        for waiting in late {
-            insert(&mut self.late, waiting);
-        }
+    /// Takes out the flows that can no longer be in time.
+    pub fn take_late(&mut self, now: Timestamp) -> Vec<PendingFlow> {
+        self.in_time.extract_if(.., |waiting| waiting.is_late(now)).collect()
     }
 
     /// Notes a copy of a SYN; tells whether its flow waits here.
--- a/crates/core/src/direct/steering/following.rs
+++ b/crates/core/src/direct/steering/following.rs
@@ -212,6 +212,7 @@
         let mut limits = std::mem::take(&mut self.limits);
         limits.answered(now, &service, &domain, took, || self.placement().usage(now, &service, Some(&domain)));
         self.limits = limits;
+        self.rates.answered(&service, took);
     }
 
     /// Judges an answer that began and ended with the same packet.
--- a/crates/core/src/direct/steering/mod.rs
+++ b/crates/core/src/direct/steering/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::Timestamp;
 use crate::direct::adaptive_limit::AdaptiveLimits;
+use crate::direct::admission::ServiceRates;
 use crate::direct::concurrency_limit::ConcurrencyLimit;
 use crate::direct::decision::Decision;
 use crate::direct::decision::Outcome;
@@ -132,6 +133,7 @@
     cold: SlowStart,
     concurrency: ConcurrencyLimit,
     limits: AdaptiveLimits,
+    rates: ServiceRates,
     /// Until when what is known here may be old, since this process was paused.
     unsure_until: Timestamp,
     /// SYNs that came before the directory was whole, or while it may be old.
@@ -189,6 +191,7 @@
             cold: SlowStart::default(),
             concurrency: ConcurrencyLimit::default(),
             limits: AdaptiveLimits::default(),
+            rates: ServiceRates::default(),
             unsure_until: Timestamp::ZERO,
             next_refresh: Timestamp::ZERO,
             early: Vec::new(),
@@ -301,6 +304,7 @@
             self.failures.retain(|id| directory.target(id).is_some(), |address| directory.route(address).is_some());
             let known = |service: &str| directory.has_service(service);
             self.limits.retain(known);
+            self.rates.retain(known);
             self.admit_early(now, effects);
             self.dispatch(now, effects);
         }
--- a/crates/core/src/direct/steering/opening.rs
+++ b/crates/core/src/direct/steering/opening.rs
@@ -9,6 +9,10 @@
 use super::Steering;
 use super::Syn;
 use crate::Timestamp;
+use crate::direct::adaptive_limit::Usage;
+use crate::direct::admission;
+use crate::direct::admission::Admission;
+use crate::direct::admission::Patience;
 use crate::direct::decision::Decision;
 use crate::direct::decision::Outcome;
 use crate::direct::directory::cookie;
@@ -62,7 +66,8 @@
         let shares = route.shares.iter();
         let weighted = shares.map(|share| (share, xxh3_64(share.service.as_bytes()), share.weight));
         let Some(share) = rendezvous::pick_weighted(hash, weighted) else {
-            self.reject(segment, Outcome::ResetNoTarget, effects);
+            effects.push(Effect::Reset(*segment));
+            self.decide(Decision::new(segment.flow, Outcome::ResetNoTarget));
             return;
         };
         let mut waiting = PendingFlow::new(*segment, packet, since, copies, route.latency_objective, route.timeout);
@@ -71,16 +76,45 @@
         if !self.has(Mechanism::LateLast) {
             waiting.in_time_until = waiting.until;
         }
+        // Copies tell of an interruption that is over, and not of the load that is to come.
+        if copies == 0 {
+            self.rates.arrived(now, &share.service);
+        }
         let late = waiting.is_late(now);
-        let first = if late { self.waiting.is_empty() } else { self.waiting.none_in_time() };
+        let ahead = self.waiting.ahead(&share.service);
+        let first = ahead.in_time == 0 && (!late || ahead.late == 0);
         match self.choose(now, &waiting, self.limit(late)) {
             Choice::Target(target) if first => self.place(now, waiting, target, Outcome::Placed, effects),
             Choice::Nowhere if self.all_cold(now, &waiting.service) => self.start_slowly(now, waiting, effects),
             Choice::Nowhere => self.reject_pending(now, &waiting, Outcome::ResetNoTarget, effects),
+            Choice::Full if self.is_hopeless(now, &waiting) => {
+                self.reject_pending(now, &waiting, Outcome::ResetFull, effects);
+            }
             Choice::Target(_) | Choice::Full => self.wait(now, waiting, effects),
         }
     }
 
+    /// Tells whether a flow that finds no room could not be served if it waited.
+    fn is_hopeless(&self, now: Timestamp, waiting: &PendingFlow) -> bool {
+        if !self.has(Mechanism::Admission) {
+            return false;
+        }
+        let service = &waiting.service;
+        let Some(slots_free) = self.slots_free(now, service) else { return false };
+        let (in_time, attempt) = (waiting.in_time_until.saturating_sub(now), waiting.until.saturating_sub(now));
+        let patience = Patience { in_time, attempt };
+        let arrivals = self.rates.arrivals(now, service);
+        admission::admit(patience, self.waiting.ahead(service), slots_free, arrivals) == Admission::Reject
+    }
+
+    /// Returns the rate, a second, at which slots of a service come free for this instance: as many as it uses now, or may
+    /// use, each for the time that answers take (Little's law).
+    fn slots_free(&self, now: Timestamp, service: &str) -> Option<f64> {
+        let took = self.rates.answer_time(service)?;
+        let Usage { open, share } = self.placement().usage(now, service, None);
+        Some(f64::from(open).max(share) / took.as_secs_f64())
+    }
+
     fn wait(&mut self, now: Timestamp, waiting: PendingFlow, effects: &mut Vec<Effect>) {
         self.decide(Decision::new(waiting.segment.flow, Outcome::Waiting));
         if !self.has(Mechanism::PendingQueue) {
@@ -94,7 +128,8 @@
         self.dispatch(now, effects);
     }
 
-    /// Gives up a flow that has waited.
+    /// Gives up a flow that was sent nowhere, and resets it if that is sure, so that its caller knows at once that nothing
+    /// has run.
     pub(super) fn reject_pending(
         &mut self,
         now: Timestamp,
@@ -102,12 +137,14 @@
         outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
-        if waiting.may_be_reset(now) {
-            self.reject(&waiting.segment, outcome, effects);
+        let took = now.saturating_sub(waiting.since);
+        let outcome = if waiting.may_be_reset(now) {
+            effects.push(Effect::Reset(waiting.segment));
+            outcome
         } else {
-            let took = now.saturating_sub(waiting.since);
-            self.decide(Decision { took, ..Decision::new(waiting.segment.flow, Outcome::DroppedWaiting) });
-        }
+            Outcome::DroppedWaiting
+        };
+        self.decide(Decision { took, ..Decision::new(waiting.segment.flow, outcome) });
     }
 
     /// Returns how many flows may wait here: this instance's part of what the targets can do in the horizon.
@@ -121,12 +158,6 @@
         part.max(MIN_WAITING)
     }
 
-    /// Resets a flow that was sent nowhere, so that its caller knows at once that nothing has run.
-    fn reject(&mut self, segment: &Segment, outcome: Outcome, effects: &mut Vec<Effect>) {
-        effects.push(Effect::Reset(*segment));
-        self.decide(Decision::new(segment.flow, outcome));
-    }
-
     pub(super) fn placement(&self) -> Placement<'_> {
         Placement {
             directory: &self.directory,
@@ -268,12 +299,23 @@
         true
     }
 
+    /// Lets flows that can no longer be in time wait behind those that can, or rejects them if they could not be served.
+    fn put_late_last(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        for waiting in self.waiting.take_late(now) {
+            if self.is_hopeless(now, &waiting) {
+                self.reject_pending(now, &waiting, Outcome::ResetFull, effects);
+            } else {
+                self.waiting.push(now, waiting, usize::MAX);
+            }
+        }
+    }
+
     /// Places waiting flows for which there is room now, the most urgent first.
     pub(super) fn dispatch(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
         if self.waiting.is_empty() {
             return;
         }
-        self.waiting.age(now);
+        self.put_late_last(now, effects);
         // A service that is full for flows in time is full for late ones too.
         let mut full: Vec<String> = Vec::new();
         let mut index = 0;
--- a/crates/core/tests/direct/overload.rs
+++ b/crates/core/tests/direct/overload.rs
@@ -7,6 +7,12 @@
 use crate::fleet::ms;
 use hawthornshift_core::direct::adaptive_limit::AdaptiveLimits;
 use hawthornshift_core::direct::adaptive_limit::Usage;
+use hawthornshift_core::direct::admission::Admission;
+use hawthornshift_core::direct::admission::Ahead;
+use hawthornshift_core::direct::admission::Patience;
+use hawthornshift_core::direct::admission::ServiceRates;
+use hawthornshift_core::direct::admission::admit;
+use hawthornshift_core::direct::decision::Outcome;
 use hawthornshift_core::direct::mechanisms::Mechanism;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
 
@@ -50,12 +56,33 @@
     served
 }
 
+/// Plays a small fleet with tight objectives at a multiple of what its targets can do.
+fn tight(times: f64, mechanisms: Mechanisms) -> (f64, Vec<Sim>) {
+    let mut in_time = 0.0;
+    let mut played = Vec::new();
+    for seed in 0..4 {
+        let mut sim = Sim::new(seed, 9, 14, 425.0);
+        sim.mechanisms = mechanisms;
+        sim.when_full = WhenFull::Refuse;
+        sim.run_until(secs(3));
+        sim.per_second = times * 14.0 * 2.0 / 0.033;
+        sim.run_until(secs(7));
+        sim.per_second = 425.0;
+        sim.run_until(secs(10));
+        sim.check();
+        in_time += sim.served(secs(3), secs(7)).0 / 4.0;
+        played.push(sim);
+    }
+    (in_time, played)
+}
+
 /// Guards against instances that all place behind queues which they cannot see, until targets refuse a good part of tries.
 #[test]
 fn a_crowd_is_not_sent_to_full_targets() {
     let (with, without) = (crowd(1.3, &[]), crowd(1.3, &[Mechanism::AdaptiveLimit]));
     assert!(with.shed * 3 < without.shed, "{with:?}, {without:?} without a limit");
     assert!(with.at_all > without.at_all, "{with:?}, {without:?} without a limit");
+    assert!(with.in_time > 0.78, "{with:?}");
 }
 
 /// Guards against the limit being in force where targets are not overloaded.
@@ -66,6 +93,38 @@
     assert_eq!(served.shed, 0);
 }
 
+/// Guards against flows that wait in vain, take slots late from those that could be in time, and learn nothing meanwhile.
+#[test]
+fn under_lasting_overload_the_excess_is_rejected_at_once() {
+    let (with, played) = tight(1.2, Mechanisms::default());
+    let (without, _) = tight(1.2, Mechanisms::default().without(Mechanism::Admission));
+    assert!(with > 0.7 && with > without + 0.05, "{with} in time, {without} without");
+    for sim in played {
+        let mut waited: Vec<Duration> = sim.decided(Outcome::ResetFull).map(|decision| decision.took).collect();
+        waited.sort_unstable();
+        let median = waited[waited.len() / 2];
+        assert!(median < ms(10), "half of those that were rejected had waited for {median:?}");
+    }
+}
+
+/// Guards against rejecting callers after a short interruption, when slots for all of them come free soon.
+#[test]
+fn after_a_short_interruption_few_are_rejected() {
+    for seed in 0..3 {
+        let mut sim = Sim::new(seed, 9, 14, 300.0);
+        sim.when_full = WhenFull::Refuse;
+        sim.run_until(secs(4));
+        for index in 0..9 {
+            sim.kill(index);
+            sim.start_at(secs(4) + ms(700 + 20 * index as u64), index);
+        }
+        sim.run_until(secs(10));
+        sim.check();
+        let (_, at_all) = sim.served(secs(4), secs(7));
+        assert!(at_all > 0.99, "seed {seed}: {at_all} answered at all");
+    }
+}
+
 fn answered(limits: &mut AdaptiveLimits, now: Duration, took: Duration, open: u32) {
     limits.answered(now, SERVICE, DOMAIN, took, || Usage { open, share: 4.0 });
 }
@@ -107,3 +166,29 @@
     }
     assert!(limits.size(SERVICE, "domain-1").is_some());
 }
+
+/// Guards against a wrong estimate of the load: it settles at the true rate, and forgets it.
+#[test]
+fn the_rate_of_new_flows_is_learned_and_forgotten() {
+    let mut rates = ServiceRates::default();
+    (0..400_u64).for_each(|step| rates.arrived(ms(step * 5), SERVICE));
+    let now = ms(399 * 5);
+    let rate = rates.arrivals(now, SERVICE);
+    assert!((190.0..215.0).contains(&rate), "{rate} of 200 a second");
+    assert!(rates.arrivals(now + secs(2), SERVICE) < 1.0);
+    assert!(rates.arrivals(now, "another").abs() < f64::EPSILON);
+}
+
+/// Guards against each of the ways to decide wrongly about a flow that finds no room.
+#[test]
+fn a_flow_waits_only_if_it_can_be_served() {
+    let patience = Patience { in_time: ms(100), attempt: ms(1_000) };
+    let none = Ahead { in_time: 0, late: 0 };
+    assert_eq!(admit(patience, none, 50.0, 500.0), Admission::Wait, "a slot comes free in time");
+    let many = Ahead { in_time: 20, late: 0 };
+    assert_eq!(admit(patience, many, 50.0, 500.0), Admission::Reject, "new flows take all that comes free");
+    assert_eq!(admit(patience, many, 50.0, 10.0), Admission::Wait, "late, but new flows leave much over");
+    let late = Patience { in_time: Duration::ZERO, ..patience };
+    assert_eq!(admit(late, none, 50.0, 49.5), Admission::Reject, "too little is left over");
+    assert_eq!(admit(late, none, 50.0, 0.0), Admission::Wait);
+}
