Targets that hang are set aside after one overdue answer

Cause: a request of which nothing is seen was taken to have ended after 1.8 times the usual, since its answer may have gone past this instance. Change: outside the second and a half after a change of the instances nearby or a pause, a request counts until its answer is overdue (usual time of its route and twelve mean deviations). If a request that was asked later has been answered by then, the target is set aside, here and in the group, for 3 s and doubled each time, behind the others; an answer that comes after all takes that back. Not judged: a target with more requests than slots, targets that are overloaded, more than a quarter of a service's targets. A caller's given-up request no longer counts as a slow answer at peers.

--- a/crates/core/src/direct/decision.rs
+++ b/crates/core/src/direct/decision.rs
@@ -45,6 +45,10 @@
     AnsweredLate,
     /// An answer was so much shorter and sooner there than its route's usual ones that it is taken for a failure.
     AnsweredFailure,
+    /// A target was set aside since it has not answered this flow's request, though others have answered later ones.
+    AnswerOverdue,
+    /// A request was answered whose target had been set aside for it: the target is used as before.
+    AnsweredOverdue,
     /// A flow ended with its handshake finished and without an answer having been seen here.
     EndedUnanswered,
     /// A flow ended whose handshake was not finished here: its caller was served elsewhere, or tried again.
--- a/crates/core/src/direct/failures.rs
+++ b/crates/core/src/direct/failures.rs
@@ -33,11 +33,11 @@
 /// Part of failures below which earlier times aside are forgotten.
 const CLEARED: f64 = 0.05;
 /// How long a target is set aside for the first time; doubled each further time.
-const FIRST_ASIDE: Duration = Duration::from_millis(1_500);
+const FIRST_ASIDE: Duration = Duration::from_secs(3);
 /// Longest time for which a target is set aside.
 const LONGEST_ASIDE: Duration = Duration::from_secs(12);
 /// Time for which only one instance tries a target that was set aside: each failure costs a caller its request.
-const ONE_TRIES: Duration = Duration::from_millis(700);
+const ONE_TRIES: Duration = Duration::from_secs(2);
 
 /// What is usual for a route.
 #[derive(Clone, Copy, Debug)]
@@ -97,6 +97,23 @@
         true
     }
 
+    /// Notes that an answer of a target is overdue, here or at a peer: the target is set aside at once, as each further
+    /// request would cost a caller all the time that it has. Tells whether it was not yet.
+    pub fn overdue(&mut self, now: Timestamp, target: TargetId) -> bool {
+        let record = self.records.entry(target).or_default();
+        record.failing = record.failing.max(MANY);
+        self.failed(now, target)
+    }
+
+    /// Notes that an answer that was overdue has come after all, here or at a peer: its target is slow.
+    pub fn answered_overdue(&mut self, now: Timestamp, target: TargetId) {
+        if let Some(record) = self.records.get_mut(&target) {
+            record.failing = 0.0;
+            record.aside_until = record.aside_until.min(now);
+            record.times_aside = record.times_aside.saturating_sub(1);
+        }
+    }
+
     /// Tells whether a target should get flows only behind the others; `mine` tells whether it is this instance's task to
     /// try it again.
     #[must_use]
--- a/crates/core/src/direct/flows.rs
+++ b/crates/core/src/direct/flows.rs
@@ -81,6 +81,8 @@
     pub last_seen: Timestamp,
     /// The route's latency objective.
     pub objective: Duration,
+    /// Whether its target was set aside since the present request was not answered.
+    pub overdue: bool,
 }
 
 /// All flows with a record, by their short names.
--- a/crates/core/src/direct/load_report.rs
+++ b/crates/core/src/direct/load_report.rs
@@ -64,6 +64,10 @@
     pub given_up: Vec<FlowHash>,
     /// Targets of whose answers one looked like a failure.
     pub failed: Vec<FailedRequest>,
+    /// Targets that have been set aside since an answer of theirs is overdue.
+    pub overdue: Vec<Cookie>,
+    /// Targets of whose overdue answers one has come after all.
+    pub answered_overdue: Vec<Cookie>,
     /// Targets that seem not to answer, and how long to avoid each.
     pub avoid: Vec<(Cookie, Duration)>,
     /// Failure domains whose targets seem not to answer, and how long to avoid each.
@@ -106,6 +110,8 @@
     ended,
     given_up,
     failed,
+    overdue,
+    answered_overdue,
     avoid,
     avoid_domains,
     alive_domains,
--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -29,6 +29,8 @@
     TargetChecks,
     /// Targets whose answers look like failures are set aside.
     FailureDetection,
+    /// Targets that do not answer, though they finish handshakes, are set aside.
+    OverdueDetection,
     /// A SYN whose handshake is overdue goes to another target.
     SecondTry,
     /// New flows wait while all targets are full; without it they are rejected at once.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -7,7 +7,8 @@
 //! - [`directory`] is what the store says, in [`facts`] that instances pass on to each other; [`routes`] is the
 //!   configuration in it.
 //! - [`placement`] picks a target, by [`work`] (what targets hold, told between instances in [`load_report`]), [`outlier`]
-//!   and [`domain_reach`] (which seem not to answer, single ones and whole failure domains), [`failures`] (which answer with failures) and [`handshake_timeout`] (how long a handshake may take).
+//!   and [`domain_reach`] (which seem not to answer, single ones and whole failure domains), [`failures`] (which answer with
+//!   failures, or by [`answer_times`] not at all though they finish handshakes) and [`handshake_timeout`] (how long a handshake may take).
 //! - [`reachability`] checks targets that owe answers, so that flows at those which are out of reach can be reset.
 //! - [`admission`] tells which flows may wait when no slot is free, [`pending`] keeps them, [`concurrency_limit`] bounds what an instance sends while it is alone,
 //!   [`adaptive_limit`] what it sends while targets are overloaded; [`flows`] are the records of those that pass through here.
@@ -20,6 +21,7 @@
 
 pub mod adaptive_limit;
 pub mod admission;
+pub mod answer_times;
 pub mod concurrency_limit;
 pub mod decision;
 pub mod directory;
--- a/crates/core/src/direct/steering/following.rs
+++ b/crates/core/src/direct/steering/following.rs
@@ -78,7 +78,8 @@
         let objective = self.directory.route(id.service).map_or(Duration::MAX, |route| route.latency_objective);
         // The number of the SYN is not known any more; one that comes now is a new flow's.
         let sequence = segment.sequence.wrapping_sub(1);
-        self.flows.insert(Flow { id, target, sequence, stage, first_seen: now, last_seen: now, objective });
+        let (first_seen, last_seen, overdue) = (now, now, false);
+        self.flows.insert(Flow { id, target, sequence, stage, first_seen, last_seen, objective, overdue });
         if asks {
             self.expect_answer(now, target, effects);
             self.work.start(now, short, target);
@@ -182,12 +183,18 @@
         }
         let (took, objective, target) = (now.saturating_sub(flow.first_seen), flow.objective, flow.target);
         flow.stage = Stage::Answered(Some(AnswerBegun { base, after: took }));
+        let overdue = std::mem::take(&mut flow.overdue);
         record(&mut self.answers, took);
         self.concurrency.answered(now, took, objective);
         if took > objective {
             let decision = Decision { took, target: Some(target), ..Decision::new(id, Outcome::AnsweredLate) };
             self.decide(decision);
         }
+        if overdue {
+            self.failures.answered_overdue(now, target);
+            self.report.answered_overdue.push(cookie(target));
+            self.decide(Decision { took, target: Some(target), ..Decision::new(id, Outcome::AnsweredOverdue) });
+        }
         self.end_answered(now, id, target, took);
     }
 
@@ -198,6 +205,7 @@
             return;
         };
         self.failures.answered(ended.target);
+        self.answer_times.answered(id.service, now.saturating_sub(ended.took), ended.took);
         self.learn_load(now, ended.target, ended.took);
         if ended.reported {
             let unreported = self.work.take_unreported(ended.target);
@@ -257,7 +265,7 @@
 
     pub(super) fn unanswered(&mut self, now: Timestamp, flow: &Flow) {
         let took = now.saturating_sub(flow.first_seen);
-        let judged = self.has(Mechanism::FailureDetection);
+        let judged = self.has(Mechanism::FailureDetection) && !flow.overdue;
         if judged && matches!(flow.stage, Stage::Working { .. }) && took >= self.work.usual() * HUNG {
             self.failures.failed(now, flow.target);
             self.report_failure(flow.target);
--- a/crates/core/src/direct/steering/mod.rs
+++ b/crates/core/src/direct/steering/mod.rs
@@ -17,6 +17,7 @@
 use crate::Timestamp;
 use crate::direct::adaptive_limit::AdaptiveLimits;
 use crate::direct::admission::ServiceRates;
+use crate::direct::answer_times::AnswerTimes;
 use crate::direct::concurrency_limit::ConcurrencyLimit;
 use crate::direct::decision::Decision;
 use crate::direct::decision::Outcome;
@@ -53,6 +54,9 @@
 /// Time after a pause in which new flows wait for word that the news here is not old: an announcement comes every
 /// 300 ms, and without any there is nobody who could know better.
 const UNSURE: Duration = Duration::from_millis(400);
+/// Time after a change of the instances nearby, or a pause of this process, in which what callers send may not be seen here:
+/// the fabric asks an instance twice a second whether it is ready, and takes it out after two misses.
+const UNSEEN: Duration = Duration::from_millis(1_500);
 /// Age at which a kept SYN is dropped: its caller sends a copy soon.
 const EARLY_AGE: Duration = Duration::from_millis(180);
 /// Range and precision of the latency histograms, in milliseconds: one digit up to a minute takes 2 KB.
@@ -126,6 +130,7 @@
     domains: DomainReach,
     checks: Checks,
     failures: Failures,
+    answer_times: AnswerTimes,
     refusal: Refusal,
     flows: FlowRecords,
     waiting: PendingQueue,
@@ -141,6 +146,8 @@
     instances: Vec<InstanceId>,
     group: Vec<InstanceId>,
     all_told: bool,
+    /// Until when callers' packets may go unseen here; `None` before the first look at it.
+    unseen_until: Option<Timestamp>,
     next_sweep: Timestamp,
     next_refresh: Timestamp,
     report: LoadReport,
@@ -184,6 +191,7 @@
             domains: DomainReach::default(),
             checks: Checks::default(),
             failures: Failures::default(),
+            answer_times: AnswerTimes::default(),
             refusal: Refusal::default(),
             flows: FlowRecords::default(),
             waiting: PendingQueue::default(),
@@ -196,6 +204,7 @@
             next_refresh: Timestamp::ZERO,
             early: Vec::new(),
             all_told: true,
+            unseen_until: None,
             next_sweep: Timestamp::ZERO,
             report: LoadReport::default(),
             decisions: Vec::new(),
@@ -244,6 +253,12 @@
         self.failures.count_aside(now)
     }
 
+    /// Returns how many limits are in force, one for each service and failure domain whose targets are overloaded.
+    #[must_use]
+    pub fn limits_in_force(&self) -> usize {
+        self.limits.count()
+    }
+
     /// Returns the counts of decisions.
     #[must_use]
     pub fn counts(&self) -> &OutcomeCounts {
@@ -289,6 +304,9 @@
                 self.report_open(now, flow, target);
             }
         }
+        if self.group != group {
+            self.unseen_until = Some(now + UNSEEN);
+        }
         self.instances = instances;
         self.group = group;
         self.all_told = all_told;
@@ -302,6 +320,7 @@
             self.outliers.retain(|id| directory.target(id).is_some());
             self.checks.retain(|id| directory.target(id).is_some());
             self.failures.retain(|id| directory.target(id).is_some(), |address| directory.route(address).is_some());
+            self.answer_times.retain(|address| directory.route(address).is_some());
             let known = |service: &str| directory.has_service(service);
             self.limits.retain(known);
             self.rates.retain(known);
@@ -314,6 +333,7 @@
     /// Notes that this process was paused: it may have missed that targets left, died or turned cold.
     pub fn paused(&mut self, now: Timestamp) {
         self.unsure_until = now + UNSURE;
+        self.unseen_until = Some(now + UNSEEN);
     }
 
     /// Notes that a peer or the store has confirmed what is known here.
--- a/crates/core/src/direct/steering/opening.rs
+++ b/crates/core/src/direct/steering/opening.rs
@@ -239,7 +239,8 @@
         self.forward(target, segment.cookie, Packet::Kept(packet.clone()), effects);
         let stage = Stage::Opening(Opening { sent: now, packet, tried });
         let (id, sequence) = (segment.flow, segment.sequence);
-        self.flows.insert(Flow { id, target, sequence, stage, first_seen: since, last_seen: now, objective });
+        let (first_seen, last_seen, overdue) = (since, now, false);
+        self.flows.insert(Flow { id, target, sequence, stage, first_seen, last_seen, objective, overdue });
         self.flows.watch_handshake(flow, now + self.handshake_timeout.limit());
     }
 
--- a/crates/core/src/direct/steering/reporting.rs
+++ b/crates/core/src/direct/steering/reporting.rs
@@ -25,8 +25,7 @@
         }
         for flow in &report.given_up {
             self.flows.answered_elsewhere(*flow);
-            // That it took so long is learned of the target's pace all the same.
-            self.work.hear_end(now, *flow, 0);
+            self.work.abandon(*flow);
         }
         for failed in &report.failed {
             if let Some(target) = self.known(failed.target) {
@@ -34,6 +33,16 @@
                 self.failures.failed(now, target);
             }
         }
+        for cookie in &report.overdue {
+            if let Some(target) = self.known(*cookie) {
+                self.failures.overdue(now, target);
+            }
+        }
+        for cookie in &report.answered_overdue {
+            if let Some(target) = self.known(*cookie) {
+                self.failures.answered_overdue(now, target);
+            }
+        }
         for (cookie, cold_time) in &report.returning {
             if let Some(target) = self.known(*cookie) {
                 self.outliers.return_slowly(now, target, *cold_time);
--- a/crates/core/src/direct/steering/timers.rs
+++ b/crates/core/src/direct/steering/timers.rs
@@ -4,9 +4,13 @@
 
 use super::Effect;
 use super::Steering;
+use super::UNSEEN;
 use crate::Timestamp;
+use crate::direct::decision::Decision;
 use crate::direct::decision::Outcome;
+use crate::direct::directory::cookie;
 use crate::direct::flows::Stage;
+use crate::direct::mechanisms::Mechanism;
 use crate::direct::pending::PendingFlow;
 use crate::direct::placement::Choice;
 use crate::direct::placement::Limit;
@@ -20,6 +24,8 @@
 const FREEZE: Duration = Duration::from_millis(200);
 /// Time between two looks at work that goes on.
 const REVIEW: Duration = Duration::from_millis(50);
+/// Part of a service's targets, as a divisor, that may be set aside for answers that are overdue.
+const MAX_ASIDE: usize = 4;
 /// Time between two clean-ups of records.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -38,10 +44,11 @@
         if now >= self.next_refresh {
             let late = now.saturating_sub(self.next_refresh);
             self.next_refresh = now + REVIEW;
-            self.refresh(now);
             if late >= FREEZE {
                 self.checks.start_over(now);
+                self.unseen_until = Some(now + UNSEEN);
             }
+            self.refresh(now);
             self.check_targets(now, effects);
         }
         self.work.expire(now);
@@ -54,26 +61,73 @@
         self.dispatch(now, effects);
     }
 
-    /// Says that work which has gone on for a while goes on, and gives up what has probably ended unseen.
+    /// Says that work which has gone on for a while goes on, and gives up what has ended unseen or will never end.
+    ///
+    /// While callers' packets may go unseen, a request of which nothing is heard for long has probably been answered. At other
+    /// times its target is set aside first: one that takes requests and never answers would else look idle, and draw more.
     fn refresh(&mut self, now: Timestamp) {
+        let unseen = now < *self.unseen_until.get_or_insert(now + UNSEEN);
         let (mut ended, mut open) = (Vec::new(), Vec::new());
         for flow in self.flows.unanswered() {
-            let short = flow.id.short();
-            let silent = now.saturating_sub(flow.last_seen);
-            if silent >= self.work.silence_limit(now, flow.target) {
+            let silence = self.work.silence_limit(now, flow.target);
+            let overdue = self.answer_times.limit(flow.id.service).filter(|_| !unseen);
+            if now.saturating_sub(flow.last_seen) >= overdue.map_or(silence, |limit| limit.max(silence)) {
                 ended.push(flow.id);
             } else {
-                open.push((short, flow.target));
+                open.push((flow.id.short(), flow.target));
             }
         }
         for (flow, target) in open {
             self.say_open(now, flow, target);
         }
         for id in ended {
+            if !unseen && self.has(Mechanism::OverdueDetection) {
+                self.judge_unanswered(now, id);
+            }
             self.end_work(id);
         }
     }
 
+    /// Sets the target of a request aside that should have answered it, if that is the target's fault.
+    fn judge_unanswered(&mut self, now: Timestamp, id: FlowId) {
+        let Some(sent) = self.work.opened_at(id.short()) else { return };
+        if !self.answer_times.have_later(id.service, sent) || self.may_be_queued(id) || self.many_are_aside(now, id) {
+            return;
+        }
+        let Some(flow) = self.flows.get_mut(&id).filter(|flow| matches!(flow.stage, Stage::Working { .. })) else {
+            return;
+        };
+        flow.overdue = true;
+        let target = flow.target;
+        if self.failures.overdue(now, target) {
+            self.report.overdue.push(cookie(target));
+            let took = now.saturating_sub(sent);
+            self.decide(Decision { took, target: Some(target), ..Decision::new(id, Outcome::AnswerOverdue) });
+        }
+    }
+
+    /// Tells whether a flow's request may still wait at its target, or have been dropped there: the target has more requests
+    /// than slots, or those around it are overloaded.
+    fn may_be_queued(&self, id: FlowId) -> bool {
+        let target = self.flows.get(&id).and_then(|flow| self.directory.target(flow.target));
+        target.is_none_or(|target| {
+            let facts = &target.facts;
+            let overloaded = self.limits.size(&facts.service, &facts.failure_domain).is_some();
+            overloaded || self.work.count(target.id) > facts.slots.max(1)
+        })
+    }
+
+    /// Tells whether so many targets of a flow's service are set aside that another reason is likelier, or the others would be
+    /// overloaded.
+    fn many_are_aside(&self, now: Timestamp, id: FlowId) -> bool {
+        let target = self.flows.get(&id).and_then(|flow| self.directory.target(flow.target));
+        let Some(target) = target else { return true };
+        let all = self.directory.candidates(now, &target.facts.service).count();
+        let aside = self.directory.candidates(now, &target.facts.service);
+        let aside = aside.filter(|target| self.failures.is_aside(now, target.id, || true)).count();
+        (aside + 1) * MAX_ASIDE > all.max(MAX_ASIDE)
+    }
+
     /// Keeps a request counted that its caller's packets show to be open, and reports it if it is notable.
     fn say_open(&mut self, now: Timestamp, flow: FlowHash, target: TargetId) {
         if !self.work.is_open(flow) {
@@ -81,7 +135,7 @@
         }
         let notable = self.work.wants_report(now, flow);
         if notable || !self.work.is_reported(flow) {
-            self.work.start(now, flow, target);
+            self.work.keep(now, flow);
         }
         if notable {
             self.report_open(now, flow, target);
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod directory;
 mod domain_loss;
 mod fleet;
+mod hanging;
 mod load;
 mod mechanisms;
 mod members;
