--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -47,6 +47,7 @@
     gauge!("hawthornshift_targets_avoided").set(number(sources.steering.outliers().avoided(now).count()));
     gauge!("hawthornshift_targets_unreachable").set(number(sources.steering.unreachable()));
     gauge!("hawthornshift_targets_failing").set(number(sources.steering.failing(now)));
+    gauge!("hawthornshift_limits_in_force").set(number(sources.steering.limits_in_force()));
     let takes = directory.targets().filter(|target| target.takes_flows(now)).count();
     gauge!("hawthornshift_targets_listed").set(number(takes));
 }
