A waiting flow counts on half of the slots that come free

Cause: newer flows go first, so one that was admitted by all the slots that come free was overtaken, became late and was reset after all. Change: half of them.

--- a/crates/core/src/direct/admission.rs
+++ b/crates/core/src/direct/admission.rs
@@ -16,6 +16,8 @@
 
 /// Time in which half of what is known of the rate of new flows is forgotten.
 const RATE_HALF: Duration = Duration::from_millis(200);
+/// Part of the slots that come free meanwhile which a waiting flow may count on: newer flows overtake it.
+const OWN_PART: f64 = 0.5;
 /// Weights of one more answer in the time that answers take.
 const ANSWER_WEIGHTS: Weights = Weights { time: 0.1, deviation: 0.1 };
 
@@ -114,7 +116,7 @@
 #[must_use]
 pub fn admit(patience: Patience, ahead: Ahead, slots_free: f64, arrivals: f64) -> Admission {
     let count = |flows: usize| f64::from(u32::try_from(flows).unwrap_or(u32::MAX)) + 1.0;
-    let in_time = count(ahead.in_time) <= patience.in_time.as_secs_f64() * slots_free;
+    let in_time = count(ahead.in_time) <= patience.in_time.as_secs_f64() * slots_free * OWN_PART;
     let left_over = slots_free - arrivals;
     let late = count(ahead.in_time + ahead.late) <= patience.attempt.as_secs_f64() * left_over;
     if in_time || late { Admission::Wait } else { Admission::Reject }
