--- a/crates/core/src/direct/domain_reach.rs
+++ b/crates/core/src/direct/domain_reach.rs
@@ -56,7 +56,7 @@
     }
 
     /// Takes over from a peer that a suspected domain has answered.
-    pub fn hear_answer(&mut self, now: Timestamp, domain: &str) {
+    pub fn receive_answer(&mut self, now: Timestamp, domain: &str) {
         self.forget(key(domain));
         self.domains.clear(now, key(domain));
     }
@@ -78,9 +78,9 @@
     }
 
     /// Takes over a peer's suspicion of a domain unless it has just answered here.
-    pub fn hear(&mut self, now: Timestamp, domain: &str, avoidance: Duration) {
+    pub fn receive(&mut self, now: Timestamp, domain: &str, avoidance: Duration) {
         let domain = key(domain);
-        self.domains.hear(now, domain, avoidance);
+        self.domains.receive(now, domain, avoidance);
         if self.domains.is_suspected(domain) {
             self.suspected_since.entry(domain).or_insert(now);
         }
@@ -103,7 +103,7 @@
 
     /// Returns since when a domain has been suspected, if its targets go behind those of others; `mine` tells whether it is this
     /// instance's task to try it again, for the key that stands for it. Targets that started later are not concerned.
-    pub fn doubted_since(
+    pub fn avoided_since(
         &self,
         now: Timestamp,
         domain: &str,
@@ -112,8 +112,8 @@
     ) -> Option<Timestamp> {
         let domain = key(domain);
         let suspected = self.domains.is_suspected(domain);
-        let doubted = suspected && self.domains.trust(now, domain, handshake_timeout, || mine(domain)) != Trust::Full;
-        doubted.then(|| self.suspected_since.get(&domain).copied().unwrap_or(now))
+        let avoided = suspected && self.domains.trust(now, domain, handshake_timeout, || mine(domain)) != Trust::Full;
+        avoided.then(|| self.suspected_since.get(&domain).copied().unwrap_or(now))
     }
 
     /// Tells whether a domain has answered here so lately that one silent target says nothing of the others.
--- a/crates/core/src/direct/fleet/store_news.rs
+++ b/crates/core/src/direct/fleet/store_news.rs
@@ -103,7 +103,7 @@
         let mut effects: Vec<FleetEffect> = self.relay(now, &watcher, news, reached).into_iter().collect();
         effects.extend(news.delta.clone().map(FleetEffect::Learn));
         let before = rank_key(watcher.id) > rank_key(self.membership.me().id);
-        let duty = self.duty.hear(now, watcher.id, &news.announcement, before);
+        let duty = self.duty.receive(now, watcher.id, &news.announcement, before);
         effects.extend(duty.map(FleetEffect::Duty));
         self.note_informed(watcher.control);
         effects.extend(self.judge_announcement(now, sender, news, reached));
--- a/crates/core/src/direct/outlier.rs
+++ b/crates/core/src/direct/outlier.rs
@@ -93,7 +93,7 @@
     /// Like any other.
     Full,
     /// Only when no other has room: a handshake was not finished, which may mean nothing.
-    Doubted,
+    Suspected,
     /// Only by a trial: it has been silent for long.
     Silent,
 }
@@ -195,7 +195,7 @@
     }
 
     /// Takes over a peer's suspicion unless this instance has just seen the target answer.
-    pub fn hear(&mut self, now: Timestamp, target: TargetId, avoidance: Duration) {
+    pub fn receive(&mut self, now: Timestamp, target: TargetId, avoidance: Duration) {
         let record = self.records.entry(target).or_default();
         record.watched_until = now + WATCHED;
         if record.last_answer.is_none_or(|at| now.saturating_sub(at) > OWN_EVIDENCE) {
@@ -237,7 +237,7 @@
             let may_try = now >= record.avoid_until && !on_trial && (anybody || mine());
             return if may_try { Trust::Full } else { Trust::Silent };
         }
-        if now < record.avoid_until || on_trial { Trust::Doubted } else { Trust::Full }
+        if now < record.avoid_until || on_trial { Trust::Suspected } else { Trust::Full }
     }
 
     /// Tells whether a silent target may be tried though others have just been: where nothing else is left, at a rate
--- a/crates/core/src/direct/pending.rs
+++ b/crates/core/src/direct/pending.rs
@@ -152,7 +152,7 @@
     }
 
     /// Notes a copy of a SYN; tells whether its flow waits here.
-    pub fn hear_copy(&mut self, now: Timestamp, segment: &Segment, copies: u32) -> bool {
+    pub fn receive_copy(&mut self, now: Timestamp, segment: &Segment, copies: u32) -> bool {
         let mut all = self.in_time.iter_mut().chain(&mut self.late);
         let waiting = all.find(|waiting| waiting.segment.flow == segment.flow);
         let Some(waiting) = waiting else { return false };
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -100,12 +100,12 @@
     #[must_use]
     pub fn choose(&self, now: Timestamp, service: &str, hash: u64, limit: Limit, tried: &[TargetId]) -> Choice {
         let warm = |target: &&Target| !self.is_cold(now, target);
-        let mut doubts = PerDomain::default();
+        let mut suspicions = PerDomain::default();
         let mut full = PerDomain::default();
         let mut any = false;
         let mut any_in_use = false;
         let mut best: Option<(f64, u64, TargetId)> = None;
-        let mut best_doubted: Option<(f64, u64, TargetId)> = None;
+        let mut best_suspected: Option<(f64, u64, TargetId)> = None;
         let mut best_silent: Option<(f64, u64, TargetId)> = None;
         for target in self.directory.candidates(now, service).filter(warm) {
             any = true;
@@ -117,14 +117,18 @@
             }
             let cost = (self.cost(now, target), rendezvous::score(hash, target.id), target.id);
             let place = match self.outliers.trust(now, target.id, self.handshake_timeout, || self.is_mine(target.id)) {
-                Trust::Full if self.failures.is_aside(now, target.id, || self.is_mine(target.id)) => &mut best_doubted,
+                Trust::Full if self.failures.is_aside(now, target.id, || self.is_mine(target.id)) => {
+                    &mut best_suspected
+                }
                 Trust::Full
-                    if doubts.get(domain, || self.doubt(now, domain, tried)).is_some_and(|d| d.concerns(target)) =>
+                    if suspicions
+                        .get(domain, || self.suspicion(now, domain, tried))
+                        .is_some_and(|d| d.concerns(target)) =>
                 {
-                    &mut best_doubted
+                    &mut best_suspected
                 }
                 Trust::Full => &mut best,
-                Trust::Doubted => &mut best_doubted,
+                Trust::Suspected => &mut best_suspected,
                 Trust::Silent if self.outliers.may_try_last(now, target.id) => &mut best_silent,
                 Trust::Silent => continue,
             };
@@ -137,7 +141,7 @@
         // seconds, and a try of one that is dead 40 ms, at most as often as it has slots.
         // One that has long been silent may have been restarted and be cold, so many tries at once could do it harm.
         let last = if any_in_use { None } else { best_silent };
-        match best.or(best_doubted).or(last) {
+        match best.or(best_suspected).or(last) {
             Some((_, _, id)) => Choice::Target(id),
             None if any => Choice::Full,
             None => Choice::Nowhere,
@@ -175,16 +179,16 @@
     ///
     /// All do if one of its targets did not finish this flow's handshake and none has answered since; those that the domain
     /// had before it came under suspicion do while it is.
-    fn doubt(&self, now: Timestamp, domain: &str, tried: &[TargetId]) -> Option<Doubt> {
+    fn suspicion(&self, now: Timestamp, domain: &str, tried: &[TargetId]) -> Option<DomainSuspicion> {
         if !self.mechanisms.has(Mechanism::DomainReach) {
             return None;
         }
         let of_domain = |id: &TargetId| self.directory.target(*id).is_some_and(|t| t.facts.failure_domain == domain);
         if tried.iter().any(of_domain) && !self.domains.answers(now, domain) {
-            return Some(Doubt::All);
+            return Some(DomainSuspicion::All);
         }
         let mine = |key| self.is_mine(key);
-        self.domains.doubted_since(now, domain, self.handshake_timeout, mine).map(Doubt::KnownBefore)
+        self.domains.avoided_since(now, domain, self.handshake_timeout, mine).map(DomainSuspicion::KnownBefore)
     }
 
     /// Tells whether a target is cold by its entry, or may be since it was silent.
@@ -240,14 +244,14 @@
 
 /// Which targets of a failure domain go behind others.
 #[derive(Clone, Copy, Debug)]
-enum Doubt {
+enum DomainSuspicion {
     /// All of them.
     All,
     /// Those that were known at this time: the domain came under suspicion then.
     KnownBefore(Timestamp),
 }
 
-impl Doubt {
+impl DomainSuspicion {
     fn concerns(self, target: &Target) -> bool {
         match self {
             Self::All => true,
--- a/crates/core/src/direct/reachability.rs
+++ b/crates/core/src/direct/reachability.rs
@@ -39,7 +39,7 @@
 /// Longest time between two checks of one that stays out of reach.
 const RECHECK_LONGEST: Duration = Duration::from_millis(2_400);
 /// Age up to which a sign of life makes a target fit to be checked beside another one.
-const CONTROL_AGE: Duration = Duration::from_secs(1);
+const REFERENCE_AGE: Duration = Duration::from_secs(1);
 /// Time for which a failure to reach a target counts, one of its own or another instance's. Both must be of the same trouble.
 const VALID: Duration = Duration::from_secs(5);
 /// Failed checks of its own that an instance needs if there is no other to ask.
@@ -239,15 +239,15 @@
             }
         }
         if !due.is_empty() {
-            due.extend(self.begin_control(now, &due));
+            due.extend(self.begin_reference_check(now, &due));
         }
         due
     }
 
     /// Begins a check of the target that has answered last, if that was of late.
-    fn begin_control(&mut self, now: Timestamp, due: &[TargetId]) -> Option<TargetId> {
+    fn begin_reference_check(&mut self, now: Timestamp, due: &[TargetId]) -> Option<TargetId> {
         let free = |id: &TargetId, record: &Record| record.check_since.is_none() && !due.contains(id);
-        let lately = |record: &Record| record.failed == 0 && now.saturating_sub(record.last_sign) < CONTROL_AGE;
+        let lately = |record: &Record| record.failed == 0 && now.saturating_sub(record.last_sign) < REFERENCE_AGE;
         let fit = self.records.iter_mut().filter(|(id, record)| free(id, record) && lately(record));
         let (target, record) = fit.max_by_key(|(id, record)| (record.last_sign, **id))?;
         record.check_since = Some(now);
@@ -267,8 +267,8 @@
         }
         // A process that was paused has not read what the target sent meanwhile.
         let paused = now.saturating_sub(began) >= CHECK_LIMIT + STALL;
-        let control_failed = self.accepted.is_none_or(|at| at < began);
-        if paused || control_failed || record.last_sign >= began {
+        let reference_failed = self.accepted.is_none_or(|at| at < began);
+        if paused || reference_failed || record.last_sign >= began {
             record.next_check = now + RECHECK_FIRST;
             return Finding::Nothing;
         }
--- a/crates/core/src/direct/steering/mod.rs
+++ b/crates/core/src/direct/steering/mod.rs
@@ -395,11 +395,11 @@
     pub fn adopt(&mut self, now: Timestamp, handover: &Handover, effects: &mut Vec<Effect>) -> bool {
         for (flow, target, age) in &handover.work {
             if !self.work.is_open(*flow) {
-                self.work.hear(now, *flow, *target, *age);
+                self.work.receive(now, *flow, *target, *age);
             }
         }
         for (target, avoidance) in &handover.avoid {
-            self.outliers.hear(now, *target, *avoidance);
+            self.outliers.receive(now, *target, *avoidance);
         }
         self.learn(now, &handover.delta, effects)
     }
--- a/crates/core/src/direct/steering/opening.rs
+++ b/crates/core/src/direct/steering/opening.rs
@@ -59,7 +59,7 @@
             self.forward(target, segment.cookie, Packet::Current, effects);
             return;
         }
-        if self.waiting.hear_copy(now, segment, copies) {
+        if self.waiting.receive_copy(now, segment, copies) {
             return;
         }
         let hash = segment.flow.hash64();
--- a/crates/core/src/direct/steering/reporting.rs
+++ b/crates/core/src/direct/steering/reporting.rs
@@ -60,10 +60,10 @@
         }
         if self.has(Mechanism::DomainReach) {
             for (domain, avoidance) in &report.avoid_domains {
-                self.domains.hear(now, domain, *avoidance);
+                self.domains.receive(now, domain, *avoidance);
             }
             for domain in &report.alive_domains {
-                self.domains.hear_answer(now, domain);
+                self.domains.receive_answer(now, domain);
             }
         }
         self.receive_findings(now, report, effects);
@@ -78,7 +78,7 @@
         self.flows.moved(open.flow);
         self.waiting.remove(open.flow);
         let Some(target) = self.directory.by_cookie(open.target) else { return };
-        self.work.hear(now, open.flow, target.id, Duration::from_millis(u64::from(open.age_ms)));
+        self.work.receive(now, open.flow, target.id, Duration::from_millis(u64::from(open.age_ms)));
         if target.is_cold(now) || self.outliers.is_returning(now, target.id) {
             self.cold.spent(now, target.id);
         }
@@ -86,7 +86,7 @@
 
     fn receive_answered(&mut self, now: Timestamp, answered: AnsweredRequest) {
         self.flows.answered_elsewhere(answered.flow);
-        if let Some(ended) = self.work.hear_end(now, answered.flow, answered.unreported) {
+        if let Some(ended) = self.work.receive_end(now, answered.flow, answered.unreported) {
             self.outliers.sign_of_life(now, ended.target);
             self.count_answers(ended.target, answered.unreported.saturating_add(1));
         }
@@ -101,7 +101,7 @@
     /// Takes over a peer's suspicion, and says so if the target has answered here of late.
     fn receive_suspicion(&mut self, now: Timestamp, target: TargetId, avoidance: Duration) {
         if self.has(Mechanism::OutlierDetection) {
-            self.outliers.hear(now, target, avoidance);
+            self.outliers.receive(now, target, avoidance);
         }
         self.checks.suspect(now, target);
         if self.outliers.refutes(now, target) {
--- a/crates/core/src/direct/watch.rs
+++ b/crates/core/src/direct/watch.rs
@@ -100,7 +100,7 @@
     }
 
     /// Takes in an announcement from an instance that ranks before this one or not.
-    pub fn hear(
+    pub fn receive(
         &mut self,
         now: Timestamp,
         from: InstanceId,
--- a/crates/core/tests/direct/starting.rs
+++ b/crates/core/tests/direct/starting.rs
@@ -116,7 +116,7 @@
     let mut starting = Starting::new(false, FAST, 0.0);
     let mut duty = WatchDuty::new(Timestamp::ZERO);
     let announcement = Announcement { revision: 5, age: ms(1), leaving: false };
-    duty.hear(ms(10), 7, &announcement, true);
+    duty.receive(ms(10), 7, &announcement, true);
     let read = (0..10_000).map(ms).find(|now| starting.reads_store(*now, 3, &duty)).unwrap();
     assert!(read > ms(1_900) && read < ms(2_200), "{read:?}");
 }
--- a/crates/core/tests/direct/watching.rs
+++ b/crates/core/tests/direct/watching.rs
@@ -55,14 +55,14 @@
             said.extend(duty.announcement(self.now, 5).map(|announcement| (index, announcement)));
         }
         for (from, announcement) in said {
-            self.hear(from, &announcement);
+            self.receive(from, &announcement);
         }
     }
 
-    fn hear(&mut self, from: usize, announcement: &Announcement) {
+    fn receive(&mut self, from: usize, announcement: &Announcement) {
         for index in (0..self.duties.len()).filter(|index| *index != from) {
             if self.up[index] {
-                self.duties[index].hear(self.now, u32::try_from(from).unwrap(), announcement, from < index);
+                self.duties[index].receive(self.now, u32::try_from(from).unwrap(), announcement, from < index);
             }
         }
     }
@@ -139,7 +139,7 @@
     duty.begin(ms(20));
     assert!(!duty.should_read());
     let announcement = Announcement { revision: 5, age: ms(1), leaving: false };
-    assert_eq!(duty.hear(ms(30), 7, &announcement, true), Some(Duty::End));
+    assert_eq!(duty.receive(ms(30), 7, &announcement, true), Some(Duty::End));
     assert!(!duty.should_read());
     assert_eq!(duty.tick(ms(500), 0), None);
     assert_eq!(duty.tick(ms(1_100), 0), Some(Duty::Begin));
