--- a/crates/core/examples/ablation.rs
+++ b/crates/core/examples/ablation.rs
@@ -13,6 +13,7 @@
 use strum::IntoEnumIterator;
 
 use crate::fleet::Sim;
+use crate::fleet::WhenFull;
 use crate::fleet::ms;
 use hawthornshift_core::direct::mechanisms::Mechanism;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
@@ -27,7 +28,7 @@
 /// A load pattern with its faults; returns the span that counts.
 type Case = (&'static str, fn(&mut Sim) -> (Duration, Duration));
 
-const CASES: [Case; 9] = [
+const CASES: [Case; 10] = [
     ("power loss", power_loss),
     ("slow targets", slow_targets),
     ("burst", burst),
@@ -36,6 +37,7 @@
     ("dead, open flows", dead_open_flows),
     ("cut, open flows", cut_open_flows),
     ("failing targets", failing_targets),
+    ("hanging targets", hanging_targets),
     ("rolling restarts", rolling_restarts),
 ];
 
@@ -72,6 +74,7 @@
 }
 
 fn overload(sim: &mut Sim) -> (Duration, Duration) {
+    sim.when_full = WhenFull::Refuse;
     sim.run_until(secs(3));
     sim.per_second = USUAL * 3.0;
     sim.run_until(secs(5));
@@ -113,6 +116,14 @@
     (secs(4), secs(9))
 }
 
+fn hanging_targets(sim: &mut Sim) -> (Duration, Duration) {
+    sim.when_full = WhenFull::Refuse;
+    sim.run_until(secs(4));
+    sim.change_targets(HIT, |target| target.hangs = 1.0);
+    sim.run_until(secs(10));
+    (secs(4), secs(9))
+}
+
 fn rolling_restarts(sim: &mut Sim) -> (Duration, Duration) {
     for round in 0..6_u64 {
         let at = secs(3) + ms(round * 700);
