--- a/crates/core/src/direct/work.rs
+++ b/crates/core/src/direct/work.rs
@@ -26,7 +26,8 @@
 /// Usual times of a request after which it is reported to the other instances. About one in twelve takes longer at a target
 /// that is neither slow nor full.
 const NOTABLE_AGE: f64 = 1.5;
-/// Usual times of a request for which one that nothing has come of is believed to go on by whoever follows it. The slowest of a thousand requests takes six times the usual.
+/// Usual times of a request for which one that nothing has come of is believed to go on by whoever follows it. The
+/// slowest of a thousand requests takes six times the usual.
 const SILENCE_LIMIT: f64 = 1.8;
 /// Longest of these times.
 const LONGEST_SILENCE: Duration = Duration::from_millis(1_500);
