--- a/crates/core/examples/ablation.rs
+++ b/crates/core/examples/ablation.rs
@@ -125,13 +125,7 @@
 }
 
 fn rolling_restarts(sim: &mut Sim) -> (Duration, Duration) {
-    for round in 0..6_u64 {
-        let at = secs(3) + ms(round * 700);
-        sim.run_until(at);
-        let index = usize::try_from(round).expect("a small number");
-        sim.kill(index);
-        sim.start_at(at + ms(400), index);
-    }
+    sim.restart_in_turn(secs(3), ms(700), 6);
     sim.run_until(secs(10));
     (secs(3), secs(9))
 }
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -68,6 +68,8 @@
 pub const OBJECTIVE: Duration = Duration::from_millis(150);
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 const TICK: Duration = Duration::from_millis(10);
+/// Time from the end of an instance that is restarted to its start.
+const RESTART: Duration = Duration::from_millis(400);
 /// Time between two questions of the fabric whether an instance is ready; two misses take it out of rotation.
 const PROBE: Duration = Duration::from_millis(500);
 
@@ -385,6 +387,16 @@
         self.instances[index] = None;
     }
 
+    /// Kills instances one after the other, each as soon as the one before has been up again for a while.
+    pub fn restart_in_turn(&mut self, from: Timestamp, gap: Duration, instances: usize) {
+        for index in 0..instances {
+            let at = from + gap * u32::try_from(index).unwrap();
+            self.run_until(at);
+            self.kill(index);
+            self.start_at(at + RESTART, index);
+        }
+    }
+
     pub fn start_at(&mut self, time: Timestamp, index: usize) {
         self.at(time, Event::Start(index));
     }
--- a/crates/core/tests/direct/hanging.rs
+++ b/crates/core/tests/direct/hanging.rs
@@ -101,13 +101,7 @@
 fn restarts_of_instances_do_not_take_targets_away() {
     let mut sim = Sim::new(8, 9, 14, USUAL);
     sim.route_by_readiness();
-    for round in 0..6_u64 {
-        let at = secs(3) + ms(round * 700);
-        sim.run_until(at);
-        let index = usize::try_from(round).unwrap();
-        sim.kill(index);
-        sim.start_at(at + ms(400), index);
-    }
+    sim.restart_in_turn(secs(3), ms(700), 6);
     sim.run_until(secs(14));
     sim.check();
     let (in_time, at_all) = sim.served(secs(3), secs(9));
--- a/crates/core/tests/direct/load.rs
+++ b/crates/core/tests/direct/load.rs
@@ -191,13 +191,7 @@
 #[test]
 fn rolling_restarts_do_not_put_targets_under_suspicion() {
     let mut sim = Sim::new(7, 9, 14, USUAL);
-    for round in 0..6_u64 {
-        let at = secs(3) + ms(round * 700);
-        sim.run_until(at);
-        let index = usize::try_from(round).unwrap();
-        sim.kill(index);
-        sim.start_at(at + ms(400), index);
-    }
+    sim.restart_in_turn(secs(3), ms(700), 6);
     sim.run_until(secs(10));
     sim.check();
     let (in_time, at_all) = sim.served(secs(3), secs(9));
@@ -319,13 +313,7 @@
         sim.keep_flows(300);
         sim.run_until(secs(4));
         sim.change_targets([1, 5, 9], |target| target.slow = 8.0);
-        for round in 0..4_u64 {
-            let at = secs(5 + round);
-            sim.run_until(at);
-            let index = usize::try_from(round).unwrap();
-            sim.kill(index);
-            sim.start_at(at + ms(400), index);
-        }
+        sim.restart_in_turn(secs(5), secs(1), 4);
         sim.run_until(secs(12));
         sim.check();
         let asked = sim.requests.len();
