Sum the slots of a failure domain without overflow

Cause: check adds the slots of a domain's targets before it has rejected values out of range, as 32-bit numbers. The test panicked before the change and passes with it.

--- a/crates/model/src/check.rs
+++ b/crates/model/src/check.rs
@@ -379,5 +379,6 @@
 #[must_use]
 pub fn domain_slots(group: &TargetGroup, domain: &str) -> u32 {
     let members = group.targets.iter().filter(|target| target.failure_domain == domain && !target.leaving);
-    members.map(|target| target.slots).sum()
+    // Slots are summed before their range is checked, so a set with values out of range must not overflow here.
+    members.map(|target| target.slots).fold(0, u32::saturating_add)
 }
--- a/crates/model/tests/check.rs
+++ b/crates/model/tests/check.rs
@@ -95,6 +95,13 @@
     assert!(found.iter().all(|diagnostic| diagnostic.severity == Severity::Warning) && !found.is_empty(), "{found:?}");
 }
 
+/// Guards against a panic in place of a diagnostic when the slots of a failure domain exceed what the sum can hold.
+#[test]
+fn slots_out_of_range_are_refused_without_an_overflow() {
+    let found = diagnostics(|set| set.target_groups[0].targets.iter_mut().for_each(|target| target.slots = u32::MAX));
+    assert_has_error(&found, "target", "slots");
+}
+
 #[test]
 fn malformed_oversized_and_unknown_fields_are_refused() {
     assert!(matches!(CheckedSet::from_json(b"{"), Err(CheckError::Unreadable(_))));
