Give findings about targets an age

Cause: an instance kept the finding that a target is out of reach until the target answered it. Ten seconds after a partition it reset a flow that had moved to it from another instance, 2 ms before its own check found the target alive, and meanwhile placed new flows on that target.

Change: a finding is valid until its target is due to be checked again (0.3 s, doubled up to 2.4 s, whether answers are awaited or not). After that packets are forwarded and the target is checked at once; flows are reset only when that check fails. An instance that finds a target alive again tells its group, with the cold time if the target may have been restarted. Placement and resets use one view. `gone` ends with another start of the id. A finding that nothing renews for 5 s is dropped. Failures reported by peers are ignored for 0.1 s after a pause. Outlier and domain suspicions, former ejections and adaptive limits get age limits too. Log lines about reachability state the age of their evidence and are rate-limited. `--without finding-age` switches this off.

Not measured on real processes.

Changes to existing tests: `reachability` now takes the time.

--- a/crates/core/src/direct/adaptive_limit.rs
+++ b/crates/core/src/direct/adaptive_limit.rs
@@ -34,6 +34,10 @@
 /// Fraction of an instance's share of the slots up to which it counts as unloaded.
 const UNLOADED_SHARE_FRACTION: f64 = 0.5;
 
+/// Time without an answer after which a limit is removed. Its evidence is the times of answers, and targets that have
+/// answered nothing for so long have no requests of this instance left.
+const LIMIT_VALIDITY: Duration = Duration::from_secs(10);
+
 /// Open requests and slots of an instance, for all targets of a service or those in one failure domain.
 #[derive(Clone, Copy, Debug)]
 pub struct Usage {
@@ -53,14 +57,16 @@
     /// Maximum number of open requests, or `None` while the targets are not overloaded.
     size: Option<f64>,
     next_decrease: Timestamp,
+    last_answer: Timestamp,
 }
 
 impl DomainLimit {
-    fn new(unloaded_seconds: f64) -> Self {
-        Self { unloaded_seconds, slow_fraction: 0.0, size: None, next_decrease: Timestamp::ZERO }
+    fn new(now: Timestamp, unloaded_seconds: f64) -> Self {
+        Self { unloaded_seconds, slow_fraction: 0.0, size: None, next_decrease: Timestamp::ZERO, last_answer: now }
     }
 
     fn answered(&mut self, now: Timestamp, took: Duration, usage: impl FnOnce() -> Usage) {
+        self.last_answer = now;
         let seconds = took.as_secs_f64();
         let slow = seconds > self.unloaded_seconds * SLOW_RATIO;
         self.slow_fraction += (f64::from(u8::from(slow)) - self.slow_fraction) * SLOW_FRACTION_WEIGHT;
@@ -113,7 +119,7 @@
             // unloaded ones.
             let domains = self.services.entry(service.to_owned()).or_default();
             let least = domains.values().map(|limit| limit.unloaded_seconds).reduce(f64::min);
-            domains.insert(domain.to_owned(), DomainLimit::new(least.unwrap_or(took.as_secs_f64())));
+            domains.insert(domain.to_owned(), DomainLimit::new(now, least.unwrap_or(took.as_secs_f64())));
         }
     }
 
@@ -124,6 +130,16 @@
         self.services.get(service)?.get(domain)?.size
     }
 
+    /// Removes the limits whose targets have answered nothing for [`LIMIT_VALIDITY`].
+    pub fn expire(&mut self, now: Timestamp) {
+        for limit in self.services.values_mut().flat_map(BTreeMap::values_mut) {
+            if now.saturating_sub(limit.last_answer) >= LIMIT_VALIDITY {
+                limit.size = None;
+                limit.slow_fraction = 0.0;
+            }
+        }
+    }
+
     /// Returns the number of limits in force.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/core/src/direct/dispatcher/established.rs
+++ b/crates/core/src/direct/dispatcher/established.rs
@@ -154,15 +154,7 @@
     /// is sampled only if the SYN was sent to no other target before.
     fn finish_handshake(&mut self, now: Timestamp, flow: FlowId, target: TargetId, handshake: Handshake) {
         let Handshake { sent, first, moved } = handshake;
-        if self.outliers.handshake_completed(now, target) {
-            self.mark_cold_after_silence(now, target);
-        }
-        if let Some(target) = self.directory.target(target)
-            && self.domains.answered(now, target)
-        {
-            self.report.alive_domains.push(target.spec.failure_domain.clone());
-        }
-        self.record_liveness(now, target);
+        self.record_handshake(now, target);
         if first {
             let took = now.saturating_sub(sent);
             self.handshake_timeout.sample(took);
@@ -174,6 +166,19 @@
         }
     }
 
+    /// Records that a target has completed a handshake of a flow, or of a check after it was out of reach.
+    pub(super) fn record_handshake(&mut self, now: Timestamp, target: TargetId) {
+        if self.outliers.handshake_completed(now, target) {
+            self.mark_cold_after_silence(now, target);
+        }
+        if let Some(target) = self.directory.target(target)
+            && self.domains.answered(now, target)
+        {
+            self.report.alive_domains.push(target.spec.failure_domain.clone());
+        }
+        self.record_liveness(now, target);
+    }
+
     /// Marks a target that answers after a long silence as cold, and reports that to the peers.
     fn mark_cold_after_silence(&mut self, now: Timestamp, target: TargetId) {
         let cold_time = self.directory.cold_time(target);
--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -188,12 +188,11 @@
         Self {
             instances: vec![config.id],
             group: vec![config.id],
-            config,
             directory: Directory::default(),
             open_requests: OpenRequests::default(),
             outliers: Outliers::default(),
             domains: DomainReach::default(),
-            checks: ReachabilityChecks::default(),
+            checks: ReachabilityChecks::new(config.mechanisms.has(Mechanism::FindingAge)),
             failures: Failures::default(),
             answer_times: AnswerTimes::default(),
             unready_limit: UnreadyLimit::default(),
@@ -215,6 +214,7 @@
             counts: OutcomeCounts::default(),
             handshake_latencies: histogram(),
             answer_latencies: histogram(),
+            config,
         }
     }
 
@@ -247,8 +247,8 @@
 
     /// Returns the number of targets that are out of reach or gone and may still have open flows.
     #[must_use]
-    pub fn unreachable_count(&self) -> usize {
-        self.checks.count_unreachable()
+    pub fn unreachable_count(&self, now: Timestamp) -> usize {
+        self.checks.count_unreachable(now)
     }
 
     /// Returns the number of targets that are ejected for failed or overdue answers.
@@ -330,7 +330,7 @@
         if changed {
             let directory = &self.directory;
             self.outliers.retain(|id| directory.target(id).is_some());
-            self.checks.retain(|id| directory.target(id).is_some());
+            self.checks.retain(now, |id| directory.target(id).map(|target| target.known_since));
             self.failures.retain(|id| directory.target(id).is_some(), |address| directory.route(address).is_some());
             self.answer_times.retain(|address| directory.route(address).is_some());
             let known = |service: &str| directory.has_service(service);
@@ -346,6 +346,7 @@
     pub fn process_paused(&mut self, now: Timestamp) {
         self.stale_until = now + STALE_AFTER_PAUSE;
         self.packets_missed_until = Some(now + MISSED_PACKETS_WINDOW);
+        self.checks.process_paused(now);
     }
 
     /// Handles a confirmation by a peer or the store that the directory is up to date.
--- a/crates/core/src/direct/dispatcher/resetting.rs
+++ b/crates/core/src/direct/dispatcher/resetting.rs
@@ -48,7 +48,11 @@
                 Some(&mut self.report.confirmed)
             }
             Finding::Failed => Some(&mut self.report.unreachable),
-            Finding::Inconclusive | Finding::Alive | Finding::OutOfReach | Finding::StillOutOfReach => None,
+            Finding::Inconclusive
+            | Finding::Alive
+            | Finding::AliveAgain
+            | Finding::OutOfReach
+            | Finding::StillOutOfReach => None,
         };
         if let Some(list) = answer {
             list.push(cookie(target));
@@ -57,7 +61,22 @@
             Finding::OutOfReach => self.mark_out_of_reach(now, target, effects),
             // Peers need some time to confirm the failure; this instance checks again meanwhile.
             Finding::Failed => self.check_targets(now, effects),
-            Finding::Alive | Finding::Inconclusive | Finding::StillOutOfReach => {}
+            // Flows that were forwarded while the finding was too old to act on.
+            Finding::StillOutOfReach => self.reset_unanswered(now, target, effects),
+            Finding::AliveAgain => self.report_alive_again(now, target, effects),
+            Finding::Alive | Finding::Inconclusive => {}
+        }
+    }
+
+    /// Uses a target again that was out of reach, and reports that to the group, whether its members asked for a check
+    /// or not. Those that await nothing of the target would otherwise keep their own findings until their next check.
+    fn report_alive_again(&mut self, now: Timestamp, target: TargetId, effects: &mut Vec<Effect>) {
+        if self.is_enabled(Mechanism::FindingAge) {
+            self.record_handshake(now, target);
+            if !self.report.alive.contains(&cookie(target)) {
+                self.report.alive.push(cookie(target));
+            }
+            self.dispatch(now, effects);
         }
     }
 
@@ -101,13 +120,14 @@
         before < CHECKERS_PER_TARGET
     }
 
-    /// Records that a request was sent to a target on an open flow, and checks the target at once if it is suspected.
+    /// Records that a request was sent to a target on an open flow, and checks the target at once if it is suspected or
+    /// was found to be out of reach too long ago to act on it.
     ///
     /// Without that check each instance would detect the fault only after the time that an answer may take, when the
     /// caller's request is already late.
     pub(super) fn expect_answer(&mut self, now: Timestamp, target: TargetId, effects: &mut Vec<Effect>) {
         self.checks.sent(now, target);
-        if self.outliers.is_suspected(target) {
+        if self.outliers.is_suspected(target) || self.checks.needs_recheck(now, target) {
             self.checks.suspect(now, target);
             self.check_targets(now, effects);
         }
@@ -123,7 +143,7 @@
         for target in self.checks.take_due(now, usual) {
             if self.directory.is_replaced(target) {
                 self.checks.skip(now, target);
-                if self.checks.gone(target) {
+                if self.checks.gone(now, target) {
                     self.reset_unanswered(now, target, effects);
                 }
             } else if let Some(known) =
@@ -146,7 +166,7 @@
         effects: &mut Vec<Effect>,
     ) -> bool {
         let is_request = segment.payload_bytes > 0 && segment.kind == SegmentKind::Ack;
-        if !is_request || !self.may_reset(segment.flow, target) {
+        if !is_request || !self.may_reset(now, segment.flow, target) {
             return false;
         }
         self.reset_open(now, *segment, target, effects);
@@ -162,7 +182,7 @@
             .filter_map(|flow| waits(&flow.stage).map(|request_ack| (flow.id, flow.sequence, request_ack)))
             .collect();
         for (flow, sequence, acknowledged) in open {
-            if self.may_reset(flow, target) {
+            if self.may_reset(now, flow, target) {
                 let kind = SegmentKind::Ack;
                 let segment = Segment { flow, kind, sequence, acknowledged, payload_bytes: 0, cookie: cookie(target) };
                 self.reset_open(now, segment, target, effects);
@@ -172,8 +192,8 @@
 
     /// Returns whether a flow may be reset: its target is gone, or is out of reach and the route's requests may be
     /// repeated.
-    fn may_reset(&self, flow: FlowId, target: TargetId) -> bool {
-        match self.checks.reachability(target) {
+    fn may_reset(&self, now: Timestamp, flow: FlowId, target: TargetId) -> bool {
+        match self.checks.reachability(now, target) {
             Reachability::Reachable => false,
             Reachability::Gone => true,
             Reachability::OutOfReach => {
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -176,6 +176,7 @@
             open_requests: &self.open_requests,
             outliers: &self.outliers,
             domains: &self.domains,
+            checks: &self.checks,
             failures: &self.failures,
             limits: &self.adaptive_limits,
             domain: &self.config.domain,
--- a/crates/core/src/direct/dispatcher/timers.rs
+++ b/crates/core/src/direct/dispatcher/timers.rs
@@ -47,7 +47,7 @@
             let late = now.saturating_sub(self.next_review);
             self.next_review = now + REVIEW_PERIOD;
             if late >= LONG_PAUSE {
-                self.checks.restart_deadlines(now);
+                self.checks.process_paused(now);
                 self.packets_missed_until = Some(now + MISSED_PACKETS_WINDOW);
             }
             self.review_open_requests(now);
@@ -56,6 +56,7 @@
         self.open_requests.expire(now);
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_PERIOD;
+            self.expire_findings(now);
             for flow in self.flows.sweep(now) {
                 self.record_unanswered(now, &flow);
             }
@@ -63,6 +64,15 @@
         self.dispatch(now, effects);
     }
 
+    /// Drops the findings whose evidence is too old. Findings about reach expire with the checks.
+    fn expire_findings(&mut self, now: Timestamp) {
+        if self.is_enabled(Mechanism::FindingAge) {
+            self.outliers.expire(now);
+            self.domains.expire(now);
+            self.adaptive_limits.expire(now);
+        }
+    }
+
     /// Renews the requests that are still open, and abandons those that have ended unobserved or will never
     /// end.
     ///
--- a/crates/core/src/direct/domain_reach.rs
+++ b/crates/core/src/direct/domain_reach.rs
@@ -88,6 +88,12 @@
         }
     }
 
+    /// Drops the suspicions that no failed handshake and no report has renewed for long.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.domains.expire(now);
+        self.suspected_since.retain(|domain, _| self.domains.is_suspected(*domain));
+    }
+
     fn clear_suspicion(&mut self, domain: DomainKey) {
         self.last_failed.remove(&domain);
         self.suspected_since.remove(&domain);
--- a/crates/core/src/direct/failures.rs
+++ b/crates/core/src/direct/failures.rs
@@ -43,6 +43,9 @@
 /// request.
 const SINGLE_INSTANCE_TRIAL_TIME: Duration = Duration::from_secs(2);
 
+/// Time after the end of an ejection after which it no longer counts, if the target has answered nothing since.
+const EJECTION_VALIDITY: Duration = Duration::from_mins(1);
+
 /// Usual answers of a route.
 #[derive(Clone, Copy, Debug)]
 struct RouteBaseline {
@@ -89,10 +92,19 @@
         }
     }
 
+    /// Returns the record of a target, without ejections that no longer count.
+    fn current_record(&mut self, now: Timestamp, target: TargetId) -> &mut Record {
+        let record = self.records.entry(target).or_default();
+        if record.ejections > 0 && now >= record.ejected_until + EJECTION_VALIDITY {
+            *record = Record::default();
+        }
+        record
+    }
+
     /// Records that an answer of a target was a failure, observed here or by a peer. Returns whether the target is
     /// ejected for it.
     pub fn failed(&mut self, now: Timestamp, target: TargetId) -> bool {
-        let record = self.records.entry(target).or_default();
+        let record = self.current_record(now, target);
         record.failure_rate += (1.0 - record.failure_rate) * FAILURE_RATE_WEIGHT;
         if record.failure_rate < EJECTION_FAILURE_RATE || now < record.ejected_until {
             return false;
@@ -108,7 +120,7 @@
     /// because each further request would cost a caller its entire timeout. Returns whether the target was not
     /// ejected yet.
     pub fn overdue(&mut self, now: Timestamp, target: TargetId) -> bool {
-        let record = self.records.entry(target).or_default();
+        let record = self.current_record(now, target);
         record.failure_rate = record.failure_rate.max(EJECTION_FAILURE_RATE);
         self.failed(now, target)
     }
--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -27,6 +27,9 @@
     DomainReach,
     /// Checks targets with overdue answers, and resets open flows of those that are out of reach.
     TargetChecks,
+    /// Lets findings that targets are out of reach expire, and checks these targets again. A guarantee for open flows
+    /// depends on it.
+    FindingAge,
     /// Ejects targets whose answers look like failures.
     FailureDetection,
     /// Ejects targets that complete handshakes but do not answer.
--- a/crates/core/src/direct/outlier.rs
+++ b/crates/core/src/direct/outlier.rs
@@ -37,6 +37,10 @@
 /// it may be on the other side of a network partition.
 const ANY_INSTANCE_RETRY_DELAY: Duration = Duration::from_millis(2_500);
 
+/// Time after the end of an avoidance after which a suspicion without newer evidence is dropped. The entry of a target
+/// that was restarted in the meantime has long arrived by then, and states itself that the target is cold.
+const SUSPICION_VALIDITY: Duration = Duration::from_secs(30);
+
 /// Time after a suspicion during which peers are notified when its target responds.
 const LIVENESS_REPORT_WINDOW: Duration = Duration::from_secs(5);
 /// Age up to which a response refutes a suspicion that has just been received.
@@ -266,6 +270,16 @@
         self.records.iter().map(move |(id, record)| (*id, left(record))).filter(|(_, left)| !left.is_zero())
     }
 
+    /// Drops the suspicions that no failed handshake and no report has renewed for long.
+    pub fn expire(&mut self, now: Timestamp) {
+        for record in self.records.values_mut().filter(|record| record.failed_handshakes > 0) {
+            if now >= record.avoid_until + SUSPICION_VALIDITY {
+                record.failed_handshakes = 0;
+                record.trial_sent_at = None;
+            }
+        }
+    }
+
     /// Removes the targets for which `known` returns false.
     pub fn retain(&mut self, known: impl Fn(TargetId) -> bool) {
         self.records.retain(|id, _| known(*id));
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -22,6 +22,8 @@
 use crate::direct::open_requests::OpenRequests;
 use crate::direct::outlier::Availability;
 use crate::direct::outlier::Outliers;
+use crate::direct::reachability::Reachability;
+use crate::direct::reachability::ReachabilityChecks;
 use crate::rendezvous;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::TargetId;
@@ -83,6 +85,8 @@
     pub outliers: &'a Outliers,
     /// The failure domains that appear unresponsive.
     pub domains: &'a DomainReach,
+    /// The targets that are out of reach.
+    pub checks: &'a ReachabilityChecks,
     /// The targets that return failures.
     pub failures: &'a Failures,
     /// The limits on open requests while targets are overloaded.
@@ -107,7 +111,7 @@
     /// Returns the target for a new flow of a service, excluding the targets in `tried`.
     #[must_use]
     pub fn choose(&self, now: Timestamp, service: &str, hash: u64, limit: Limit, tried: &[TargetId]) -> Choice {
-        let warm = |target: &&Target| !self.is_cold(now, target);
+        let warm = |target: &&Target| !self.is_cold(now, target) && self.is_reachable(now, target.id);
         let mut suspicions = PerDomain::default();
         let mut reached_limits = PerDomain::default();
         let mut any_warm = false;
@@ -135,6 +139,7 @@
                 {
                     &mut best_suspected
                 }
+                Availability::Available if self.checks.needs_recheck(now, target.id) => &mut best_suspected,
                 Availability::Available
                     if suspicions
                         .get(domain, || self.suspicion(now, domain, tried))
@@ -241,7 +246,13 @@
 
     /// Returns the cold targets of a service, which may receive a few flows when no warm target is left.
     pub fn cold(&self, now: Timestamp, service: &str) -> impl Iterator<Item = TargetId> {
-        self.directory.candidates(now, service).filter(move |target| self.is_cold(now, target)).map(|target| target.id)
+        let cold = move |target: &&Target| self.is_cold(now, target) && self.is_reachable(now, target.id);
+        self.directory.candidates(now, service).filter(cold).map(|target| target.id)
+    }
+
+    /// Returns whether a target may get new flows as far as reachability checks tell: its flows would not be reset.
+    fn is_reachable(&self, now: Timestamp, target: TargetId) -> bool {
+        !self.mechanisms.has(Mechanism::FindingAge) || self.checks.reachability(now, target) == Reachability::Reachable
     }
 
     fn has_room(&self, target: &Target, limit: Limit) -> bool {
--- a/crates/core/src/direct/reachability.rs
+++ b/crates/core/src/direct/reachability.rs
@@ -12,7 +12,10 @@
 //! Motivala, 2002). The target is out of reach when at least one of them fails as well and none succeeds. An instance
 //! that knows no other instance requires two failed checks of its own.
 //!
-//! Targets are checked only on suspicion, and less often while they remain out of reach.
+//! Targets are checked only on suspicion. A target that is out of reach is checked again at a doubled interval, whether
+//! answers are awaited or not, and the finding is valid only until the next of these checks is due. Load addressed: a
+//! failure domain is cut off for seconds, and instances with few requests for each of its targets keep the findings
+//! afterwards. A finding without an age would reset flows of targets that can be reached again.
 
 use std::time::Duration;
 
@@ -21,6 +24,7 @@
 use crate::Timestamp;
 use crate::backoff;
 use crate::maps::FixedHashMap;
+use crate::maps::FixedHashSet;
 use hawthornshift_model::TargetId;
 
 /// Timeout for a connection to be accepted, which is twenty round trips between failure domains.
@@ -39,7 +43,8 @@
 const RECHECK_ALIVE: Duration = Duration::from_secs(3);
 /// Interval between the first two checks of a target that is out of reach. It doubles with each further check.
 const RECHECK_FIRST: Duration = Duration::from_millis(300);
-/// Longest interval between two checks of a target that remains out of reach.
+/// Longest interval between two checks of a target that remains out of reach. It is also the longest time for which a
+/// finding justifies resets without a newer failed check.
 const RECHECK_MAX: Duration = Duration::from_millis(2_400);
 /// Time since the last response of a target up to which it can serve as the reference of a check.
 const REFERENCE_MAX_AGE: Duration = Duration::from_secs(1);
@@ -48,6 +53,9 @@
 const FAILURE_VALIDITY: Duration = Duration::from_secs(5);
 /// Number of failed checks that an instance needs if there is no other instance to ask.
 const FAILED_CHECKS_WHEN_ALONE: u32 = 2;
+/// Time after a pause of this process during which failures reported by peers are ignored. The reports may have waited
+/// in the socket for as long as the pause.
+const PEER_FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// Maximum number of concurrent checks.
 const MAX_CHECKS: usize = 16;
 
@@ -67,6 +75,8 @@
 pub enum Finding {
     /// The target is alive.
     Alive,
+    /// The target is alive and counted as out of reach before.
+    AliveAgain,
     /// The check is inconclusive, because this instance may be at fault.
     Inconclusive,
     /// The target was not reached. Other instances have to confirm this.
@@ -98,6 +108,25 @@
     pub reachability: Reachability,
     /// Number of checks by this instance that had failed in a row.
     pub failed: u32,
+    /// Age of the newest failed check, by this instance or a peer. Zero if there was none.
+    pub evidence_age: Duration,
+}
+
+/// The finding that a target is out of reach.
+#[derive(Clone, Copy, Debug)]
+struct UnreachableFinding {
+    /// Time of the newest failed check, by this instance or a peer.
+    renewed_at: Timestamp,
+    /// Interval after `renewed_at` at which the target is checked again and the finding is no longer valid.
+    interval: Duration,
+    /// Number of checks by this instance since the target was found to be out of reach.
+    rechecks: u32,
+}
+
+impl UnreachableFinding {
+    fn is_valid(&self, now: Timestamp) -> bool {
+        now.saturating_sub(self.renewed_at) < self.interval
+    }
 }
 
 /// State of one target.
@@ -115,8 +144,10 @@
     peer_failed_at: Option<Timestamp>,
     /// Whether another instance has requested a check.
     check_requested: bool,
-    out_of_reach: bool,
-    gone: bool,
+    /// Present while the target counts as out of reach and is checked again.
+    finding: Option<UnreachableFinding>,
+    /// When another target was found to have taken over the address.
+    gone_at: Option<Timestamp>,
 }
 
 impl Record {
@@ -125,12 +156,49 @@
         let confirmed = self.peer_failed_at.is_some_and(|at| now.saturating_sub(at) < FAILURE_VALIDITY);
         let failed = if now.saturating_sub(self.failed_at) < FAILURE_VALIDITY { self.failed } else { 0 };
         let sufficient = failed >= 1 && confirmed || failed >= FAILED_CHECKS_WHEN_ALONE && alone;
-        let new = sufficient && !self.out_of_reach;
-        self.out_of_reach |= sufficient;
-        if new {
-            self.next_check = now + RECHECK_FIRST;
+        if self.finding.is_some() || !sufficient {
+            return false;
+        }
+        self.finding = Some(UnreachableFinding { renewed_at: now, interval: RECHECK_FIRST, rechecks: 0 });
+        self.next_check = now + RECHECK_FIRST;
+        true
+    }
+
+    /// Schedules the next check of a target that is out of reach, after one that did not succeed. Only a conclusive
+    /// failure renews the finding.
+    fn recheck_later(&mut self, now: Timestamp, conclusive: bool) {
+        if let Some(finding) = &mut self.finding {
+            finding.rechecks = finding.rechecks.saturating_add(1);
+            let interval = backoff::exponential_backoff(RECHECK_FIRST, finding.rechecks, RECHECK_MAX);
+            if conclusive {
+                (finding.renewed_at, finding.interval) = (now, interval);
+            }
+            self.next_check = now + interval;
+        }
+    }
+
+    fn reachability(&self, now: Timestamp) -> Reachability {
+        match self.finding {
+            _ if self.gone_at.is_some() => Reachability::Gone,
+            Some(finding) if finding.is_valid(now) => Reachability::OutOfReach,
+            _ => Reachability::Reachable,
         }
-        new
+    }
+
+    /// Returns the change to a new reachability, with the age of its evidence.
+    fn change(&self, now: Timestamp, target: TargetId, reachability: Reachability) -> ReachabilityChange {
+        let newest_failure = self.peer_failed_at.max((self.failed > 0).then_some(self.failed_at));
+        let evidence_age = newest_failure.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        ReachabilityChange { target, reachability, failed: self.failed, evidence_age }
+    }
+
+    /// Ends the finding that the target is out of reach. Returns the change if there was such a finding.
+    fn end_finding(&mut self, now: Timestamp, target: TargetId) -> Option<ReachabilityChange> {
+        let change = self.change(now, target, Reachability::Reachable);
+        self.finding.take()?;
+        self.failed = 0;
+        self.peer_failed_at = None;
+        Some(change)
     }
 }
 
@@ -138,38 +206,53 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReachabilityChecks {
     records: FixedHashMap<TargetId, Record>,
+    /// Targets that are gone or have a finding, valid or not. It is empty nearly always, which keeps placement fast.
+    marked: FixedHashSet<TargetId>,
+    /// Whether findings never expire, for an experiment.
+    keep_findings: bool,
     /// Start of the latest check whose connection was accepted.
     latest_accepted_start: Option<Timestamp>,
+    /// Until when failures reported by peers are ignored.
+    ignore_peer_failures_until: Timestamp,
     changes: Vec<ReachabilityChange>,
 }
 
 impl ReachabilityChecks {
+    /// Returns checks without records. `findings_expire` is false only in an experiment.
+    #[must_use]
+    pub fn new(findings_expire: bool) -> Self {
+        Self { keep_findings: !findings_expire, ..Self::default() }
+    }
+
     /// Records that a packet that a target has to answer was sent to it.
     pub fn sent(&mut self, now: Timestamp, target: TargetId) {
         self.records.entry(target).or_default().unanswered_since.get_or_insert(now);
     }
 
-    /// Records a response of a target.
-    pub fn answered(&mut self, now: Timestamp, target: TargetId) {
-        if let Some(record) = self.records.get_mut(&target) {
-            let Record { check_started_at, next_check, failed, out_of_reach, .. } = *record;
-            if out_of_reach {
-                self.changes.push(ReachabilityChange { target, reachability: Reachability::Reachable, failed });
-            }
-            *record = Record { last_alive: now, check_started_at, next_check, ..Record::default() };
+    /// Records a response of a target. Returns whether the target counted as out of reach.
+    pub fn answered(&mut self, now: Timestamp, target: TargetId) -> bool {
+        let Some(record) = self.records.get_mut(&target).filter(|record| record.gone_at.is_none()) else {
+            return false;
+        };
+        let change = record.end_finding(now, target);
+        if change.is_some() {
+            self.marked.remove(&target);
         }
+        let Record { check_started_at, next_check, .. } = *record;
+        *record = Record { last_alive: now, check_started_at, next_check, ..Record::default() };
+        self.changes.extend(change);
+        change.is_some()
     }
 
     /// Records that another instance has found a target to be alive.
     pub fn refuted(&mut self, now: Timestamp, target: TargetId) {
-        if let Some(record) = self.records.get_mut(&target).filter(|record| !record.gone) {
-            if record.out_of_reach {
-                let failed = record.failed;
-                self.changes.push(ReachabilityChange { target, reachability: Reachability::Reachable, failed });
+        if let Some(record) = self.records.get_mut(&target).filter(|record| record.gone_at.is_none()) {
+            if let Some(change) = record.end_finding(now, target) {
+                self.marked.remove(&target);
+                self.changes.push(change);
             }
             record.failed = 0;
             record.peer_failed_at = None;
-            record.out_of_reach = false;
             record.next_check = record.next_check.max(now + RECHECK_FIRST);
         }
     }
@@ -177,11 +260,18 @@
     /// Records that another instance has failed to reach a target. Returns whether the target has become out of
     /// reach.
     pub fn record_peer_failure(&mut self, now: Timestamp, target: TargetId) -> bool {
+        if now < self.ignore_peer_failures_until {
+            return false;
+        }
         let record = self.records.entry(target).or_default();
         record.peer_failed_at = Some(now);
-        let (new, failed) = (record.conclude(now, false), record.failed);
+        if let Some(finding) = &mut record.finding {
+            finding.renewed_at = now;
+        }
+        let new = record.conclude(now, false);
         if new {
-            self.changes.push(ReachabilityChange { target, reachability: Reachability::OutOfReach, failed });
+            self.marked.insert(target);
+            self.changes.push(record.change(now, target, Reachability::OutOfReach));
         }
         new
     }
@@ -212,8 +302,9 @@
     }
 
     /// Restarts the answer deadline of each target, after this process was paused. Answers may have arrived that have
-    /// not been read.
-    pub fn restart_deadlines(&mut self, now: Timestamp) {
+    /// not been read, and the reports of peers that are read next may be as old as the pause.
+    pub fn process_paused(&mut self, now: Timestamp) {
+        self.ignore_peer_failures_until = now + PEER_FAILURE_PAUSE;
         for record in self.records.values_mut().filter(|record| record.unanswered_since.is_some()) {
             record.unanswered_since = Some(now);
         }
@@ -226,24 +317,30 @@
             && let Some(since) = &mut record.unanswered_since
         {
             *since = (*since).min(now.saturating_sub(OVERDUE_MAX));
-            if !record.out_of_reach {
+            if record.reachability(now) == Reachability::Reachable {
                 record.next_check = record.next_check.min(now.max(record.last_alive + RECHECK_FIRST));
             }
         }
     }
 
     /// Returns the targets to be checked now and marks their checks as started. `usual` returns the usual request
-    /// time of a target.
+    /// time of a target. Targets that owe answers are checked before those that are only checked again.
     pub fn take_due(&mut self, now: Timestamp, usual: impl Fn(TargetId) -> Duration) -> Vec<TargetId> {
-        let under_way = self.records.values().filter(|record| record.check_started_at.is_some()).count();
+        self.expire_findings(now);
+        let mut under_way = self.records.values().filter(|record| record.check_started_at.is_some()).count();
         let mut due = Vec::new();
-        for (target, record) in &mut self.records {
-            let overdue = usual(*target).mul_f64(OVERDUE_RATIO).clamp(OVERDUE_MIN, OVERDUE_MAX);
-            let is_overdue = record.unanswered_since.is_some_and(|since| now.saturating_sub(since) >= overdue);
-            let wanted = record.check_requested || (is_overdue && now >= record.next_check);
-            if wanted && record.check_started_at.is_none() && under_way + due.len() < MAX_CHECKS {
-                record.check_started_at = Some(now);
-                due.push(*target);
+        for recheck in [false, true] {
+            for (target, record) in &mut self.records {
+                let overdue = usual(*target).mul_f64(OVERDUE_RATIO).clamp(OVERDUE_MIN, OVERDUE_MAX);
+                let is_overdue = record.unanswered_since.is_some_and(|since| now.saturating_sub(since) >= overdue);
+                let is_recheck = recheck && record.finding.is_some() && !self.keep_findings;
+                let has_reason = if recheck { is_recheck } else { is_overdue };
+                let wanted = record.check_requested || (has_reason && now >= record.next_check);
+                if wanted && record.check_started_at.is_none() && under_way < MAX_CHECKS {
+                    record.check_started_at = Some(now);
+                    under_way += 1;
+                    due.push(*target);
+                }
             }
         }
         if !due.is_empty() {
@@ -252,6 +349,21 @@
         due
     }
 
+    /// Ends the findings that no failed check has renewed for [`FAILURE_VALIDITY`], because the checks were
+    /// inconclusive or could not be performed. A new one requires two instances again.
+    fn expire_findings(&mut self, now: Timestamp) {
+        if self.keep_findings || self.marked.is_empty() {
+            return;
+        }
+        for (target, record) in &mut self.records {
+            let renewed_at = record.finding.map(|finding| finding.renewed_at);
+            if renewed_at.is_some_and(|at| now.saturating_sub(at) >= FAILURE_VALIDITY) && record.gone_at.is_none() {
+                self.marked.remove(target);
+                self.changes.extend(record.end_finding(now, *target));
+            }
+        }
+    }
+
     /// Starts a check of the target that has responded last, if it has responded recently.
     fn begin_reference_check(&mut self, now: Timestamp, due: &[TargetId]) -> Option<TargetId> {
         let is_unchecked = |id: &TargetId, record: &Record| record.check_started_at.is_none() && !due.contains(id);
@@ -272,23 +384,27 @@
         if outcome == CheckOutcome::Accepted {
             record.next_check = now + RECHECK_ALIVE;
             self.latest_accepted_start = self.latest_accepted_start.max(Some(began));
-            self.answered(now, target);
-            return Finding::Alive;
+            return if self.answered(now, target) { Finding::AliveAgain } else { Finding::Alive };
         }
         // A process that was paused has not read what the target sent in the meantime.
         let paused = now.saturating_sub(began) >= CHECK_LIMIT + STALL_MARGIN;
         let reference_failed = self.latest_accepted_start.is_none_or(|at| at < began);
         if paused || reference_failed || record.last_alive >= began {
             record.next_check = now + RECHECK_FIRST;
+            record.recheck_later(now, false);
             return Finding::Inconclusive;
         }
         record.failed += 1;
         record.failed_at = now;
         if record.conclude(now, alone) {
-            let failed = record.failed;
-            self.changes.push(ReachabilityChange { target, reachability: Reachability::OutOfReach, failed });
+            self.marked.insert(target);
+            self.changes.push(record.change(now, target, Reachability::OutOfReach));
             return Finding::OutOfReach;
         }
+        if record.finding.is_some() {
+            record.recheck_later(now, true);
+            return Finding::StillOutOfReach;
+        }
         // The second check follows immediately. After that, other instances have responded or cannot be reached
         // either.
         let delay = backoff::exponential_backoff(
@@ -297,40 +413,61 @@
             RECHECK_MAX,
         );
         record.next_check = if record.failed < FAILED_CHECKS_WHEN_ALONE { now } else { now + delay };
-        if record.out_of_reach { Finding::StillOutOfReach } else { Finding::Failed }
+        Finding::Failed
     }
 
     /// Records that a target no longer exists, because another target has taken over its address. Returns whether
     /// this was not known before.
-    pub fn gone(&mut self, target: TargetId) -> bool {
+    pub fn gone(&mut self, now: Timestamp, target: TargetId) -> bool {
         let record = self.records.entry(target).or_default();
-        let new = !record.gone;
-        record.gone = true;
-        record.out_of_reach = true;
+        let new = record.gone_at.is_none();
         if new {
-            self.changes.push(ReachabilityChange { target, reachability: Reachability::Gone, failed: record.failed });
+            record.gone_at = Some(now);
+            self.marked.insert(target);
+            self.changes.push(record.change(now, target, Reachability::Gone));
         }
         new
     }
 
-    /// Returns whether a target can be reached.
+    /// Returns whether a target can be reached. Placement and resets use this view, so that no flow is placed on a
+    /// target whose flows are reset.
     #[must_use]
-    pub fn reachability(&self, target: TargetId) -> Reachability {
-        match self.records.get(&target) {
-            Some(record) if record.gone => Reachability::Gone,
-            Some(record) if record.out_of_reach => Reachability::OutOfReach,
-            _ => Reachability::Reachable,
+    pub fn reachability(&self, now: Timestamp, target: TargetId) -> Reachability {
+        if !self.marked.contains(&target) {
+            return Reachability::Reachable;
         }
+        let now = if self.keep_findings { Timestamp::ZERO } else { now };
+        self.records.get(&target).map_or(Reachability::Reachable, |record| record.reachability(now))
+    }
+
+    /// Returns whether the finding that a target is out of reach is too old to act on, so that the target has to be
+    /// checked before its flows are reset.
+    #[must_use]
+    pub fn needs_recheck(&self, now: Timestamp, target: TargetId) -> bool {
+        self.marked.contains(&target) && self.reachability(now, target) == Reachability::Reachable
     }
 
     /// Returns the number of targets that are out of reach or gone.
     #[must_use]
-    pub fn count_unreachable(&self) -> usize {
-        self.records.values().filter(|record| record.out_of_reach).count()
+    pub fn count_unreachable(&self, now: Timestamp) -> usize {
+        self.marked.iter().filter(|target| self.reachability(now, **target) != Reachability::Reachable).count()
     }
 
-    /// Removes the targets for which `known` returns false.
-    pub fn retain(&mut self, known: impl Fn(TargetId) -> bool) {
-        self.records.retain(|id, _| known(*id));
+    /// Removes the targets for which `known_since` returns `None`, and the findings about earlier starts of the others:
+    /// `known_since` returns when this instance learned of the present start of a target.
+    pub fn retain(&mut self, now: Timestamp, known_since: impl Fn(TargetId) -> Option<Timestamp>) {
+        self.records.retain(|id, _| known_since(*id).is_some());
+        for target in self.marked.iter().copied().collect::<Vec<_>>() {
+            let Some((record, started)) = self.records.get_mut(&target).zip(known_since(target)) else {
+                self.marked.remove(&target);
+                continue;
+            };
+            let found_at = record.gone_at.max(record.finding.map(|finding| finding.renewed_at));
+            if found_at.is_some_and(|at| at < started) {
+                self.changes.push(record.change(now, target, Reachability::Reachable));
+                *record = Record::default();
+                self.marked.remove(&target);
+            }
+        }
     }
 }
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -978,6 +978,11 @@
         self.instances.iter().flatten().map(|instance| instance.dispatcher.failing_count(self.now)).sum()
     }
 
+    /// Returns the number of targets that are out of reach or gone, summed over all instances.
+    pub fn unreachable_total(&self) -> usize {
+        self.instances.iter().flatten().map(|instance| instance.dispatcher.unreachable_count(self.now)).sum()
+    }
+
     /// Returns the number of requests that targets have accepted and never answer.
     pub fn hung_requests(&self) -> usize {
         self.requests.iter().filter(|request| request.hung).count()
--- a/crates/core/tests/direct/reachability.rs
+++ b/crates/core/tests/direct/reachability.rs
@@ -2,12 +2,32 @@
 
 use std::time::Duration;
 
+use crate::fleet::Sim;
+use crate::fleet::domain;
 use crate::fleet::ms;
+use crate::fleet::service_address;
+use crate::fleet::store_snapshot;
+use crate::fleet::target_id;
+use crate::fleet::target_spec;
+use hawthornshift_core::direct::decision::Outcome;
+use hawthornshift_core::direct::directory::cookie;
+use hawthornshift_core::direct::dispatcher::Dispatcher;
+use hawthornshift_core::direct::dispatcher::DispatcherConfig;
+use hawthornshift_core::direct::dispatcher::Effect;
+use hawthornshift_core::direct::load_report::LoadReport;
+use hawthornshift_core::direct::mechanisms::Mechanisms;
 use hawthornshift_core::direct::reachability::CHECK_LIMIT;
 use hawthornshift_core::direct::reachability::CheckOutcome;
 use hawthornshift_core::direct::reachability::Finding;
 use hawthornshift_core::direct::reachability::Reachability;
 use hawthornshift_core::direct::reachability::ReachabilityChecks;
+use hawthornshift_core::direct::segment::FlowId;
+use hawthornshift_core::direct::segment::Segment;
+use hawthornshift_core::direct::segment::SegmentKind;
+use hawthornshift_core::direct::store_entries::Delta;
+use hawthornshift_core::direct::store_entries::StoreEntry;
+use hawthornshift_core::direct::store_entries::TargetSpec;
+use hawthornshift_core::direct::store_entries::VersionedEntry;
 use hawthornshift_model::TargetId;
 
 /// The target that may have died.
@@ -20,6 +40,10 @@
 const SENT_TO_LIVE_TARGET: Duration = Duration::from_millis(9_950);
 const ANSWERED_AT: Duration = Duration::from_millis(9_990);
 
+fn secs(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
 fn usual_latency(_: TargetId) -> Duration {
     ms(40)
 }
@@ -45,7 +69,7 @@
     let mut checks = under_check();
     checks.check_finished(NOW + CHECK_LIMIT, LIVE_TARGET, CheckOutcome::TimedOut, true);
     assert_eq!(fail(&mut checks, NOW, true), Finding::Inconclusive);
-    assert_eq!(checks.reachability(SILENT_TARGET), Reachability::Reachable);
+    assert_eq!(checks.reachability(NOW + CHECK_LIMIT, SILENT_TARGET), Reachability::Reachable);
 }
 
 /// One instance fails to reach a target while it reaches others: a packet was lost. The target may be taken for out of
@@ -55,11 +79,11 @@
     let mut checks = under_check();
     checks.check_finished(NOW + ms(2), LIVE_TARGET, CheckOutcome::Accepted, false);
     assert_eq!(fail(&mut checks, NOW, false), Finding::Failed);
-    assert_eq!(checks.reachability(SILENT_TARGET), Reachability::Reachable);
+    assert_eq!(checks.reachability(NOW + CHECK_LIMIT, SILENT_TARGET), Reachability::Reachable);
     assert!(checks.record_peer_failure(NOW + ms(90), SILENT_TARGET));
-    assert_eq!(checks.reachability(SILENT_TARGET), Reachability::OutOfReach);
+    assert_eq!(checks.reachability(NOW + ms(90), SILENT_TARGET), Reachability::OutOfReach);
     checks.refuted(NOW + ms(95), SILENT_TARGET);
-    assert_eq!(checks.reachability(SILENT_TARGET), Reachability::Reachable);
+    assert_eq!(checks.reachability(NOW + ms(95), SILENT_TARGET), Reachability::Reachable);
 }
 
 /// An instance that knows no other one cannot ask for confirmation. Two failures of its own must suffice, or callers
@@ -93,5 +117,159 @@
     checks.check_finished(NOW + ms(2), LIVE_TARGET, CheckOutcome::Accepted, false);
     assert_eq!(fail(&mut checks, NOW, false), Finding::Failed);
     assert!(!checks.record_peer_failure(NOW + Duration::from_secs(10), SILENT_TARGET));
-    assert_eq!(checks.reachability(SILENT_TARGET), Reachability::Reachable);
+    assert_eq!(checks.reachability(NOW + secs(10), SILENT_TARGET), Reachability::Reachable);
+}
+
+/// A failure domain is cut off for 5 s and instances find targets there to be out of reach. Idle flows move to other
+/// instances after that, which have sent those targets nothing since. A request on such a flow must be forwarded: its
+/// target is alive, and a reset for the finding of 10 s ago would break the flow.
+#[test]
+fn findings_from_a_partition_that_is_over_reset_no_flow() {
+    for seed in 40..43 {
+        let mut sim = Sim::new(seed, 32, 60, 150.0);
+        sim.use_persistent_flows(900);
+        sim.route_by_readiness();
+        sim.run_until(secs(6));
+        sim.partition_domain(1);
+        sim.run_until(secs(11));
+        assert!(sim.unreachable_total() > 0);
+        sim.cut_domain = None;
+        sim.run_until(secs(14));
+        let before = sim.decisions_with(Outcome::ResetUnreachable).count();
+        sim.run_until(secs(22));
+        sim.assert_invariants();
+        let after = sim.decisions_with(Outcome::ResetUnreachable).count() - before;
+        assert_eq!(after, 0, "flows of live targets were reset 3 s after the partition or later");
+    }
+}
+
+/// Returns checks of a target of which this instance awaits nothing, and which was found to be out of reach by a check
+/// for a peer and another peer's report at the returned time.
+fn out_of_reach() -> (ReachabilityChecks, Duration) {
+    let mut checks = ReachabilityChecks::default();
+    checks.request_check(SILENT_TARGET);
+    checks.sent(SENT_TO_LIVE_TARGET, LIVE_TARGET);
+    checks.answered(ANSWERED_AT, LIVE_TARGET);
+    assert_eq!(checks.take_due(NOW, usual_latency), [SILENT_TARGET, LIVE_TARGET]);
+    checks.check_finished(NOW + ms(2), LIVE_TARGET, CheckOutcome::Accepted, false);
+    fail(&mut checks, NOW, false);
+    let found_at = NOW + ms(60);
+    assert!(checks.record_peer_failure(found_at, SILENT_TARGET));
+    (checks, found_at)
+}
+
+/// A peer's report completes a finding, and this instance awaits nothing of the target. The target must be checked again
+/// at a doubled interval, and the finding must lapse whenever a check is due, also if no check succeeds or fails. It
+/// used to last until the target was used again, and the first request then was reset for it.
+#[test]
+fn a_finding_by_a_peers_report_is_checked_again_and_lapses() {
+    let (mut checks, found_at) = out_of_reach();
+    let (mut due_at, mut renewed_at) = (Vec::new(), found_at);
+    for step in 1..600 {
+        let now = found_at + ms(10) * step;
+        if checks.take_due(now, usual_latency).contains(&SILENT_TARGET) {
+            assert!(checks.needs_recheck(now, SILENT_TARGET));
+            due_at.push(now.saturating_sub(renewed_at));
+            renewed_at = now + CHECK_LIMIT;
+            // The process is frozen during the last check, which is inconclusive then.
+            let end = if due_at.len() < 3 { renewed_at } else { now + ms(300) };
+            checks.check_finished(now + ms(2), LIVE_TARGET, CheckOutcome::Accepted, false);
+            let finding = checks.check_finished(end, SILENT_TARGET, CheckOutcome::TimedOut, false);
+            assert_eq!(finding == Finding::StillOutOfReach, due_at.len() < 3, "{finding:?}");
+            let expected = if due_at.len() < 3 { Reachability::OutOfReach } else { Reachability::Reachable };
+            assert_eq!(checks.reachability(end, SILENT_TARGET), expected);
+            if due_at.len() == 3 {
+                break;
+            }
+        }
+    }
+    assert_eq!(due_at, [ms(300), ms(600), ms(1_200)]);
+    assert!(checks.take_due(renewed_at + secs(6), usual_latency).is_empty(), "an expired finding is still checked");
+}
+
+/// This process was frozen since it found a target out of reach, and wakes with reports in its socket that are as old.
+/// Neither the finding nor a report that is read now may reset flows: the partition may be over.
+#[test]
+fn a_finding_does_not_survive_a_freeze() {
+    let (mut checks, found_at) = out_of_reach();
+    let woken_at = found_at + secs(4);
+    checks.process_paused(woken_at);
+    assert!(!checks.record_peer_failure(woken_at + ms(1), SILENT_TARGET));
+    assert_eq!(checks.reachability(woken_at + ms(1), SILENT_TARGET), Reachability::Reachable);
+}
+
+/// A target is replaced at its address, which is final for it: neither an acknowledgement that was under way nor a
+/// peer's report revives it, and its flows are reset. Another start of the same id is another target, and placement
+/// would skip it forever if the finding stayed.
+#[test]
+fn only_another_start_ends_the_finding_that_a_target_is_gone() {
+    let (mut checks, found_at) = out_of_reach();
+    assert!(checks.gone(found_at, SILENT_TARGET));
+    checks.answered(found_at + ms(1), SILENT_TARGET);
+    checks.refuted(found_at + ms(1), SILENT_TARGET);
+    checks.retain(found_at + secs(9), |_| Some(NOW));
+    assert_eq!(checks.reachability(found_at + secs(9), SILENT_TARGET), Reachability::Gone);
+    checks.retain(found_at + secs(9), |_| Some(found_at + secs(9)));
+    assert_eq!(checks.reachability(found_at + secs(9), SILENT_TARGET), Reachability::Reachable);
+}
+
+/// Hands a caller's packet to a dispatcher and returns the targets that packets are forwarded to.
+fn forward(dispatcher: &mut Dispatcher, now: Duration, port: u16, kind: SegmentKind, to: TargetId) -> Vec<TargetId> {
+    let flow = FlowId { caller: std::net::SocketAddrV4::new([100, 64, 0, 1].into(), port), service: service_address() };
+    let payload_bytes = if kind == SegmentKind::Ack { 100 } else { 0 };
+    let cookie = if payload_bytes > 0 { cookie(to) } else { 0 };
+    let segment = Segment { flow, kind, sequence: 5, acknowledged: 0, payload_bytes, cookie };
+    let mut effects = Vec::new();
+    dispatcher.handle_packet(now, &segment, b"packet", &mut effects);
+    let target = |effect: &Effect| if let Effect::Forward { target, .. } = effect { Some(*target) } else { None };
+    effects.iter().filter_map(target).collect()
+}
+
+/// A target is out of reach, so its flows are reset. New flows placed on it meanwhile would be reset next: within half a
+/// second an instance placed three flows on a target whose flows it reset. When a check finds it alive, the group must
+/// be told although nobody asked, and when its id returns with another start, the finding must end.
+#[test]
+fn a_target_whose_flows_are_reset_gets_no_new_ones() {
+    let config =
+        DispatcherConfig { id: 1, domain: domain(0), evacuation_grace: secs(4), mechanisms: Mechanisms::default() };
+    let mut dispatcher = Dispatcher::new(config);
+    let (lost, live) = (target_id(0), target_id(4));
+    dispatcher.apply_delta(Duration::ZERO, &store_snapshot(8), &mut Vec::new());
+    dispatcher.set_members(Duration::ZERO, vec![1, 2], vec![1, 2], true);
+    assert_eq!(forward(&mut dispatcher, ms(10), 1, SegmentKind::Ack, lost), [lost]);
+    assert_eq!(forward(&mut dispatcher, ms(10), 2, SegmentKind::Ack, live), [live]);
+    // Runs the timers until the lost target is checked, with the live one as reference. Returns the end of the check.
+    let check = |dispatcher: &mut Dispatcher, mut now: Duration, outcome| {
+        let mut effects = Vec::new();
+        while !effects.iter().any(|effect| matches!(effect, Effect::Check { target, .. } if *target == lost)) {
+            now += ms(10);
+            assert!(now < secs(2), "the target is not checked");
+            dispatcher.tick(now, &mut effects);
+        }
+        dispatcher.check_finished(now + ms(2), live, CheckOutcome::Accepted, &mut Vec::new());
+        dispatcher.check_finished(now + ms(40), lost, outcome, &mut Vec::new());
+        now + ms(40)
+    };
+    let failed_at = check(&mut dispatcher, ms(10), CheckOutcome::TimedOut);
+    let confirmed = LoadReport { confirmed: vec![cookie(lost)], ..LoadReport::default() };
+    dispatcher.apply_load_report(failed_at, &confirmed, &mut Vec::new());
+    assert_eq!(dispatcher.unreachable_count(failed_at), 1);
+    // The second check, which follows the first at once.
+    dispatcher.check_finished(failed_at + ms(2), live, CheckOutcome::Accepted, &mut Vec::new());
+    dispatcher.check_finished(failed_at + ms(40), lost, CheckOutcome::TimedOut, &mut Vec::new());
+    let syn = SegmentKind::Syn { retransmissions: 0 };
+    let new_flows: Vec<TargetId> =
+        (10..40).flat_map(|port| forward(&mut dispatcher, failed_at, port, syn, lost)).collect();
+    assert!(!new_flows.is_empty() && !new_flows.contains(&lost), "{new_flows:?}");
+    let mut restarted = dispatcher.clone();
+    dispatcher.take_report();
+    let found_at = check(&mut dispatcher, failed_at + ms(50), CheckOutcome::Accepted);
+    let report = dispatcher.take_report();
+    assert!(report.alive.contains(&cookie(lost)), "{report:?}");
+    assert_eq!(dispatcher.unreachable_count(found_at), 0);
+    let spec = TargetSpec { started_at_ms: 9, ..target_spec(0, Duration::ZERO) };
+    let entries = vec![VersionedEntry { revision: 12, entry: StoreEntry::Target(lost, Some(spec)) }];
+    let delta = Delta { since: 11, revision: 12, is_snapshot: false, entries };
+    restarted.apply_delta(failed_at + ms(50), &delta, &mut Vec::new());
+    assert_eq!(restarted.unreachable_count(failed_at + ms(50)), 0);
 }
--- a/crates/direct/src/decision_log.rs
+++ b/crates/direct/src/decision_log.rs
@@ -10,6 +10,7 @@
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::decision::Decision;
 use hawthornshift_core::direct::decision::Outcome;
+use hawthornshift_core::direct::reachability::ReachabilityChange;
 use hawthornshift_model::Revision;
 
 /// Period over which lines are counted against the limit.
@@ -34,6 +35,8 @@
     window_end: Timestamp,
     written: [u32; Outcome::COUNT],
     suppressed: [u32; Outcome::COUNT],
+    reachability_written: u32,
+    reachability_suppressed: u32,
 }
 
 impl DecisionLog {
@@ -41,7 +44,15 @@
     #[must_use]
     pub fn new(log: Logger, max_lines: u32) -> Self {
         let zero_counts = [0; Outcome::COUNT];
-        Self { log, max_lines, window_end: Timestamp::ZERO, written: zero_counts, suppressed: zero_counts }
+        Self {
+            log,
+            max_lines,
+            window_end: Timestamp::ZERO,
+            written: zero_counts,
+            suppressed: zero_counts,
+            reachability_written: 0,
+            reachability_suppressed: 0,
+        }
     }
 
     /// Logs a decision, or counts it as suppressed if the limit for its outcome is reached.
@@ -71,12 +82,32 @@
         );
     }
 
+    /// Logs a change of a target's reachability under the same limit. A partition changes that of many targets at once.
+    pub fn write_reachability(&mut self, now: Timestamp, change: &ReachabilityChange, revision: Revision) {
+        if now >= self.window_end {
+            self.start_window(now);
+        }
+        if self.reachability_written >= self.max_lines {
+            self.reachability_suppressed += 1;
+            return;
+        }
+        self.reachability_written += 1;
+        let reachability: &str = change.reachability.into();
+        info!(self.log, "target reachability"; "target" => format!("{:x}", change.target), "is" => reachability,
+            "failed_checks" => change.failed, "evidence_age_ms" => millis(change.evidence_age), "revision" => revision);
+    }
+
     /// Logs the numbers of suppressed lines and starts a new window.
     fn start_window(&mut self, now: Timestamp) {
         for outcome in Outcome::iter().filter(|outcome| self.suppressed[outcome.index()] > 0) {
             let name: &str = outcome.into();
             info!(self.log, "lines left out"; "outcome" => name, "count" => self.suppressed[outcome.index()]);
         }
+        if self.reachability_suppressed > 0 {
+            info!(self.log, "lines left out"; "outcome" => "target reachability",
+                "count" => self.reachability_suppressed);
+        }
+        (self.reachability_written, self.reachability_suppressed) = (0, 0);
         self.window_end = now + RATE_WINDOW;
         self.written = [0; Outcome::COUNT];
         self.suppressed = [0; Outcome::COUNT];
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -46,7 +46,7 @@
     gauge!("hawthornshift_flows_waiting").set(gauge_value(waiting));
     gauge!("hawthornshift_work_open").set(gauge_value(sources.dispatcher.open_requests().total()));
     gauge!("hawthornshift_targets_avoided").set(gauge_value(sources.dispatcher.outliers().avoided(now).count()));
-    gauge!("hawthornshift_targets_unreachable").set(gauge_value(sources.dispatcher.unreachable_count()));
+    gauge!("hawthornshift_targets_unreachable").set(gauge_value(sources.dispatcher.unreachable_count(now)));
     gauge!("hawthornshift_targets_failing").set(gauge_value(sources.dispatcher.failing_count(now)));
     gauge!("hawthornshift_limits_in_force").set(gauge_value(sources.dispatcher.active_limit_count()));
     let accepting = directory.targets().filter(|target| target.takes_flows(now)).count();
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -426,9 +426,7 @@
         let age = self.fleet.watcher_role().age(now);
         let state = StateSummary { revision: directory.revision(), version: directory.version(), age };
         for change in self.dispatcher.take_reachability_changes() {
-            let reachability: &str = change.reachability.into();
-            info!(self.log, "target reachability"; "target" => format!("{:x}", change.target),
-                "is" => reachability, "failed_checks" => change.failed, "revision" => state.revision);
+            self.decision_log.write_reachability(now, &change, state.revision);
         }
         for decision in self.dispatcher.take_decisions() {
             self.decision_log.write(now, &decision, state);
