Refuse uploads that the instance's own narrow link cannot carry

Cause: bytes that an instance receives and those that it forwards share its link. When the windows of open uploads take more than 200 ms of it, callers retransmit everything, and SYNs, small requests and health checks wait behind that; handshakes that are late for this reason made instances send SYNs to a second and third target.

Change: direct/link_budget.rs learns the bytes of each route's requests and resets a SYN of a route with large requests if open windows and bytes still to come exceed the link. While the link delays packets, no SYN goes to a second target and no target is suspected. The capacity starts at limits.link-mbps and is corrected by the delay of the fastest handshake. The simulation has narrow links and uploads.

A drop to a fifth of the bandwidth is not handled yet.

--- a/crates/core/src/direct/decision.rs
+++ b/crates/core/src/direct/decision.rs
@@ -29,6 +29,9 @@
     ResetNoTarget,
     /// A new flow was reset since every target is full; it was sent to no target.
     ResetFull,
+    /// A new flow of many bytes was reset since this instance's own link could not carry it in time; it was sent to no
+    /// target.
+    ResetLink,
     /// An open flow was reset since its target is out of reach or gone. Its caller may open a new flow at once.
     ResetUnreachable,
     /// A packet was dropped since this instance does not have the configuration and the targets yet.
--- a/crates/core/src/direct/dispatcher/established.rs
+++ b/crates/core/src/direct/dispatcher/established.rs
@@ -168,6 +168,10 @@
             self.handshake_timeout.sample(took);
             record(&mut self.handshake_latencies, took);
         }
+        // While the link delays every handshake, each SYN has been sent to several targets.
+        if let Some(first_seen) = self.flows.get(&flow).map(|flow| flow.first_seen) {
+            self.link.handshake(now.saturating_sub(if first { sent } else { first_seen }));
+        }
         if moved {
             self.open_requests.start(now, flow.flow_hash(), target);
             self.report_open(now, flow.flow_hash(), target);
@@ -212,6 +216,7 @@
 
     /// Ends the open request of an answered flow and updates the statistics that are based on answer times.
     fn record_answered(&mut self, now: Timestamp, id: FlowId, target: TargetId, took: Duration) {
+        self.link.answered(id.flow_hash());
         self.record_liveness(now, target);
         let Some(ended) = self.open_requests.finish(now, id.flow_hash()) else {
             self.open_requests.record_request_time(now, target, took);
@@ -285,7 +290,7 @@
     /// failure of the target.
     pub(super) fn record_unanswered(&mut self, now: Timestamp, flow: &Flow) {
         let took = now.saturating_sub(flow.first_seen);
-        let judged = self.is_enabled(Mechanism::FailureDetection) && !flow.overdue;
+        let judged = self.is_enabled(Mechanism::FailureDetection) && !flow.overdue && !self.link.is_congested(now);
         if judged
             && matches!(flow.stage, Stage::AwaitingAnswer { .. })
             && took >= self.open_requests.usual() * ABANDONED_FAILURE_FACTOR
--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -27,6 +27,9 @@
 use crate::direct::failures::Failures;
 use crate::direct::flows::FlowRecords;
 use crate::direct::handshake_timeout::HandshakeTimeout;
+use crate::direct::link_budget::LinkBudget;
+use crate::direct::link_budget::LinkStatus;
+use crate::direct::link_budget::OVERHEAD_BYTES;
 use crate::direct::load_report::LoadReport;
 use crate::direct::mechanisms::Mechanism;
 use crate::direct::mechanisms::Mechanisms;
@@ -119,6 +122,9 @@
     pub domain: String,
     /// Time after the start of a failure domain's evacuation from which no packet is forwarded to its targets.
     pub evacuation_grace: Duration,
+    /// Bandwidth of this instance's own link, in Mbit/s;
+    /// [`WIDE_LINK_MBPS`](crate::direct::link_budget::WIDE_LINK_MBPS) if it is unknown.
+    pub link_mbps: f64,
     /// Mechanisms that are enabled; a trial disables single ones.
     pub mechanisms: Mechanisms,
 }
@@ -142,6 +148,7 @@
     concurrency_limit: ConcurrencyLimit,
     adaptive_limits: AdaptiveLimits,
     service_rates: ServiceRates,
+    link: LinkBudget,
     /// End of the period in which the state may be stale because this process was paused.
     stale_until: Timestamp,
     /// SYNs buffered before the directory was synced, or while it may be stale.
@@ -188,6 +195,7 @@
         Self {
             instances: vec![config.id],
             group: vec![config.id],
+            link: LinkBudget::new(config.link_mbps, config.mechanisms.has(Mechanism::LinkBudget)),
             config,
             directory: Directory::default(),
             open_requests: OpenRequests::default(),
@@ -263,6 +271,17 @@
         self.adaptive_limits.count()
     }
 
+    /// Returns the state of this instance's own link, or `None` if the link is not narrow.
+    #[must_use]
+    pub fn link_status(&self, now: Timestamp) -> Option<LinkStatus> {
+        self.link.status(now)
+    }
+
+    /// Takes the changes of the link's state since the last call.
+    pub fn take_link_changes(&mut self) -> Vec<LinkStatus> {
+        self.link.take_changes()
+    }
+
     /// Returns the number of decisions by outcome.
     #[must_use]
     pub fn counts(&self) -> &OutcomeCounts {
@@ -333,6 +352,7 @@
             self.checks.retain(|id| directory.target(id).is_some());
             self.failures.retain(|id| directory.target(id).is_some(), |address| directory.route(address).is_some());
             self.answer_times.retain(|address| directory.route(address).is_some());
+            self.link.retain(|address| directory.route(address).is_some());
             let known = |service: &str| directory.has_service(service);
             self.adaptive_limits.retain(known);
             self.service_rates.retain(known);
@@ -421,7 +441,10 @@
 
     /// Handles a packet of a caller, and appends the effects.
     pub fn handle_packet(&mut self, now: Timestamp, segment: &Segment, packet: &[u8], effects: &mut Vec<Effect>) {
+        let first = effects.len();
+        self.link.received(now, segment);
         self.handle_packet_at(now, now, segment, packet, effects);
+        self.count_sent(now, segment, &effects[first..]);
     }
 
     /// Handles a packet that arrived at `received_at`, which is earlier than `now` if the packet was buffered.
@@ -472,6 +495,18 @@
         }
     }
 
+    /// Counts the bytes of effects on this instance's own link.
+    fn count_sent(&mut self, now: Timestamp, segment: &Segment, effects: &[Effect]) {
+        for effect in effects {
+            let payload = match effect {
+                Effect::Forward { packet: Packet::Current, .. } => usize::from(segment.payload_bytes),
+                // All buffered packets are SYNs, and checks are about as short.
+                Effect::Forward { .. } | Effect::Check { .. } | Effect::Reset(_) => 0,
+            };
+            self.link.sent(now, payload + OVERHEAD_BYTES);
+        }
+    }
+
     /// Counts a decision and queues it for the log.
     fn record_decision(&mut self, decision: Decision) {
         self.counts.add(decision.outcome);
--- a/crates/core/src/direct/dispatcher/resetting.rs
+++ b/crates/core/src/direct/dispatcher/resetting.rs
@@ -39,6 +39,10 @@
         outcome: CheckOutcome,
         effects: &mut Vec<Effect>,
     ) {
+        if outcome == CheckOutcome::TimedOut && self.link.is_congested(now) {
+            self.checks.skip(now, target);
+            return;
+        }
         let alone = self.group.len() <= 1;
         let check_requested = self.checks.is_check_requested(target);
         let finding = self.checks.check_finished(now, target, outcome, alone);
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -84,6 +84,10 @@
         if !self.is_enabled(Mechanism::LateLast) {
             pending.in_time_until = pending.deadline;
         }
+        if !self.link.admit(now, segment, route.latency_objective) {
+            self.reject_pending(now, &pending, Outcome::ResetLink, effects);
+            return;
+        }
         // Retransmissions come from a past interruption and do not predict the arrival rate.
         if retransmissions == 0 {
             self.service_rates.arrived(now, &share.service);
@@ -147,6 +151,7 @@
         outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
+        self.link.closed(pending.segment.flow.flow_hash());
         let took = now.saturating_sub(pending.received_at);
         let outcome = if pending.may_be_reset(now) {
             effects.push(Effect::Reset(pending.segment));
@@ -285,8 +290,12 @@
         }
     }
 
-    /// Sends a SYN whose handshake is overdue to another target. Returns whether there was one.
+    /// Sends a SYN whose handshake is overdue to another target. Returns whether there was one. While this instance's
+    /// own link delays packets, the target is not at fault, and another SYN would only add to the delay.
     pub(super) fn retry_handshake(&mut self, now: Timestamp, id: FlowId, effects: &mut Vec<Effect>) -> bool {
+        if self.link.is_congested(now) {
+            return false;
+        }
         let Some(flow) = self.flows.get(&id) else { return false };
         let Stage::Handshake(handshake) = &flow.stage else { return false };
         let (target, sent) = (flow.target, handshake.sent);
--- a/crates/core/src/direct/dispatcher/timers.rs
+++ b/crates/core/src/direct/dispatcher/timers.rs
@@ -11,6 +11,7 @@
 use crate::direct::directory::cookie;
 use crate::direct::flows::Stage;
 use crate::direct::mechanisms::Mechanism;
+use crate::direct::pending::ATTEMPT_DURATION;
 use crate::direct::pending::PendingFlow;
 use crate::direct::placement::Choice;
 use crate::direct::placement::Limit;
@@ -34,6 +35,7 @@
 impl Dispatcher {
     /// Runs the timers that are due, and appends the effects.
     pub fn tick(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        self.link.tick(now);
         if !self.early_syns.is_empty() {
             self.dispatch_early_syns(now, effects);
         }
@@ -85,7 +87,7 @@
             self.renew_open_request(now, flow, target);
         }
         for id in ended {
-            if !packets_missed && self.is_enabled(Mechanism::OverdueDetection) {
+            if !packets_missed && !self.link.is_congested(now) && self.is_enabled(Mechanism::OverdueDetection) {
                 self.detect_overdue_answer(now, id);
             }
             self.abandon_request(id);
@@ -167,6 +169,11 @@
             self.flows.schedule_handshake_timeout(id.flow_hash(), now + MAX_TIMER_DELAY);
             return;
         }
+        if self.link.is_congested(now) && now.saturating_sub(handshake.sent) < ATTEMPT_DURATION {
+            let wait = self.handshake_timeout.limit() + self.link.handshake_delay(now);
+            self.flows.schedule_handshake_timeout(id.flow_hash(), now + wait);
+            return;
+        }
         // Without a completed handshake there is no request, whether the target is dead or the caller has abandoned
         // the attempt. If such flows stayed counted, every target would seem full in the seconds after an outage.
         if !self.retry_handshake(now, id, effects) {
--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -58,6 +58,9 @@
     PauseDetection,
     /// Keeps SYNs that arrive before the configuration and the targets are known.
     EarlySyns,
+    /// Refuses flows of many bytes that this instance's own narrow link could not carry in time, and does not take the
+    /// link's delay for a target that does not answer.
+    LinkBudget,
 }
 
 /// Set of mechanisms that are on.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -14,6 +14,7 @@
 //! - [`admission`] decides which flows may wait when no slot is free, and [`pending`] queues them.
 //!   [`concurrency_limit`] limits the load that an instance sends while it is alone, [`adaptive_limit`] the load while
 //!   targets are overloaded. [`flows`] records the flows that pass through this instance.
+//! - [`link_budget`] refuses flows of many bytes that a narrow link of this instance could not carry.
 //! - [`readiness`] decides whether callers should be sent to this instance at all.
 //! - [`fleet`] tracks the other instances, [`watch`] selects the one that watches the store, and [`message`] defines
 //!   the messages between instances.
@@ -35,6 +36,7 @@
 pub mod fleet;
 pub mod flows;
 pub mod handshake_timeout;
+pub mod link_budget;
 pub mod load_report;
 pub mod mechanisms;
 pub mod message;
--- a/crates/core/src/direct/pending.rs
+++ b/crates/core/src/direct/pending.rs
@@ -20,7 +20,7 @@
 /// request itself, whose duration varies by as much.
 const OBJECTIVE_DIVISOR: u32 = 3;
 /// Time from a caller's first SYN to the end of its attempt.
-const ATTEMPT_DURATION: Duration = Duration::from_millis(1_400);
+pub(super) const ATTEMPT_DURATION: Duration = Duration::from_millis(1_400);
 /// Time since a caller's first SYN, by the number of retransmissions sent so far. Callers retransmit a SYN 200 ms and
 /// 600 ms after the first.
 const AGES_BY_RETRANSMISSIONS: [Duration; 3] = [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(600)];
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -6,6 +6,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
 use std::fmt::Write as _;
@@ -29,6 +30,8 @@
 use hawthornshift_core::direct::fleet::Fleet;
 use hawthornshift_core::direct::fleet::FleetEffect;
 use hawthornshift_core::direct::fleet::instance_id;
+use hawthornshift_core::direct::link_budget::OVERHEAD_BYTES;
+use hawthornshift_core::direct::link_budget::WIDE_LINK_MBPS;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
 use hawthornshift_core::direct::message::Frame;
 use hawthornshift_core::direct::message::Handover;
@@ -76,6 +79,23 @@
 const RESTART_DELAY: Duration = Duration::from_millis(400);
 /// Period of the fabric's readiness probes. Two consecutive failed probes take an instance out of rotation.
 const PROBE_PERIOD: Duration = Duration::from_millis(500);
+/// Payload of a packet of an upload, in bytes, and the number of packets that a caller has in flight.
+const UPLOAD_PACKET_BYTES: u16 = 1_200;
+const UPLOAD_WINDOW: u32 = 16;
+/// Mean service time of an upload.
+const UPLOAD_SERVICE_TIME: Duration = Duration::from_millis(5);
+/// Queueing delay beyond which a narrow link drops packets.
+const MAX_LINK_DELAY: Duration = Duration::from_secs(1);
+/// Payload of a message between instances, in bytes: a load report with two entries, or a heartbeat.
+const PEER_MESSAGE_BYTES: usize = 32;
+
+/// Sequence number of every SYN and of every small request.
+const SEQUENCE: u32 = 7;
+
+/// Returns the number of packets received without a gap.
+fn contiguous(packets: &BTreeSet<u32>) -> u32 {
+    (0..).zip(packets).take_while(|(index, packet)| index == *packet).map(|(index, _)| index + 1).last().unwrap_or(0)
+}
 
 pub fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -93,6 +113,11 @@
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
 }
 
+/// Address of the route for uploads.
+pub fn upload_address() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443)
+}
+
 pub fn target_spec(index: usize, cold_for: Duration) -> TargetSpec {
     let [high, low] = u16::try_from(index).unwrap().to_be_bytes();
     let address = SocketAddrV4::new(Ipv4Addr::new(10, 9, high, low), 8_000);
@@ -128,6 +153,17 @@
     SocketAddr::from(([10, 1, u8::try_from(index / 200).unwrap(), u8::try_from(index % 200 + 1).unwrap()], 7_000))
 }
 
+/// An instance's own link, which carries packets of both directions.
+#[derive(Clone, Copy, Debug)]
+pub struct NarrowLink {
+    /// Bandwidth that the instance's settings state, in Mbit/s.
+    pub stated_mbps: f64,
+    /// Actual bandwidth, in Mbit/s.
+    pub mbps: f64,
+    /// Time at which all packets in the queue have been sent.
+    free_at: Timestamp,
+}
+
 struct Instance {
     dispatcher: Dispatcher,
     fleet: Fleet,
@@ -194,6 +230,11 @@
     pub run_count: u32,
     attempt_count: u32,
     flow: FlowId,
+    /// Number of packets of an upload; zero for a small request.
+    pub upload_packets: u32,
+    /// Number of packets of the upload that the caller has sent, and those that the target has received.
+    sent_packets: u32,
+    received_packets: BTreeSet<u32>,
     /// Target whose SYN-ACK arrived first, and the cookie that the caller echoes for it.
     established: Option<(TargetId, Cookie)>,
     attempt: u32,
@@ -230,6 +271,10 @@
     Probe,
     CheckFinished(usize, u64, TargetId, CheckOutcome),
     SendData(usize, u32),
+    SendUpload,
+    SendUploadPacket(usize, u32, u32, Duration),
+    UploadAcknowledged(usize, u32),
+    ArriveAtLink(usize, Segment),
     Deadline(usize),
 }
 
@@ -273,6 +318,10 @@
     was_cut: bool,
     /// An instance whose link to targets is congested, and the time that packets wait there.
     pub congested_link: Option<(usize, Duration)>,
+    /// Instances with a narrow link.
+    narrow_links: BTreeMap<usize, NarrowLink>,
+    /// Mean rate of new uploads per second.
+    pub uploads_per_second: f64,
     /// Whether requests are safe to repeat.
     pub safe_requests: bool,
     /// What a target with a full queue does.
@@ -321,6 +370,8 @@
             cut_domain: None,
             was_cut: false,
             congested_link: None,
+            narrow_links: BTreeMap::new(),
+            uploads_per_second: 0.0,
             safe_requests: false,
             when_full: WhenFull::Silent,
             objective: LATENCY_OBJECTIVE,
@@ -386,6 +437,31 @@
         }
     }
 
+    /// Adds a route for uploads, which have a latency objective of their own. Call it before the first request is sent.
+    pub fn use_uploads(&mut self, objective: Duration) {
+        for versioned in &mut self.store_content.entries {
+            if let StoreEntry::Routing(routing) = &mut versioned.entry {
+                let uploads = routing.routes[0].clone();
+                routing.routes.push(Route { address: upload_address(), latency_objective: objective, ..uploads });
+            }
+        }
+    }
+
+    /// Gives an instance a narrow link. Call it before the instance starts.
+    pub fn narrow_link(&mut self, instance: usize, stated_mbps: f64, mbps: f64) {
+        self.narrow_links.insert(instance, NarrowLink { stated_mbps, mbps, free_at: Timestamp::ZERO });
+    }
+
+    /// Changes the actual bandwidth of a narrow link.
+    pub fn set_link_mbps(&mut self, instance: usize, mbps: f64) {
+        self.narrow_links.get_mut(&instance).unwrap().mbps = mbps;
+    }
+
+    /// Returns the instance's dispatcher.
+    pub fn dispatcher(&self, instance: usize) -> &Dispatcher {
+        &self.instances[instance].as_ref().unwrap().dispatcher
+    }
+
     /// Partitions a failure domain from the others; its callers still reach all instances.
     pub fn partition_domain(&mut self, domain: usize) {
         self.cut_domain = Some(domain);
@@ -473,9 +549,24 @@
         self.cut_domain.is_none_or(|cut| (from % DOMAINS == cut) == (to % DOMAINS == cut))
     }
 
-    /// Returns the time that a packet waits at an instance's link to targets.
-    fn link_delay(&self, from: usize) -> Duration {
-        self.congested_link.filter(|(index, _)| *index == from).map_or(Duration::ZERO, |(_, wait)| wait)
+    /// Returns the time that a packet to a target takes at an instance's link.
+    fn link_delay(&mut self, from: usize, payload: usize) -> Option<Duration> {
+        let congested =
+            self.congested_link.filter(|(index, _)| *index == from).map_or(Duration::ZERO, |(_, wait)| wait);
+        self.pass_link(from, payload).map(|wait| wait + congested)
+    }
+
+    /// Queues a packet at an instance's link and returns the time that it takes, or `None` if the queue is full.
+    fn pass_link(&mut self, index: usize, payload: usize) -> Option<Duration> {
+        let now = self.now;
+        let Some(link) = self.narrow_links.get_mut(&index) else { return Some(Duration::ZERO) };
+        let bytes = u32::try_from(payload + OVERHEAD_BYTES).unwrap();
+        let free_at = link.free_at.max(now) + Duration::from_secs_f64(f64::from(bytes) * 8e-6 / link.mbps);
+        if free_at > now + MAX_LINK_DELAY {
+            return None;
+        }
+        link.free_at = free_at;
+        Some(free_at.saturating_sub(now))
     }
 
     fn start(&mut self, index: usize) {
@@ -494,6 +585,7 @@
             id,
             domain: failure_domain,
             evacuation_grace: Duration::from_secs(4),
+            link_mbps: self.narrow_links.get(&index).map_or(WIDE_LINK_MBPS, |link| link.stated_mbps),
             mechanisms: self.mechanisms,
         };
         let seed_addresses: Vec<SocketAddr> =
@@ -546,8 +638,9 @@
                     segment.cookie = new_cookie;
                 }
                 let target_index = usize::try_from(target - 0xA000).unwrap();
-                if self.is_connected(from, target_index) {
-                    self.schedule_after(INTERNAL_DELAY + self.link_delay(from), Event::ArriveAtTarget(target, segment));
+                let wait = self.link_delay(from, usize::from(segment.payload_bytes));
+                if let Some(wait) = wait.filter(|_| self.is_connected(from, target_index)) {
+                    self.schedule_after(INTERNAL_DELAY + wait, Event::ArriveAtTarget(target, segment));
                 }
             }
             Effect::Check { target, .. } => {
@@ -555,7 +648,8 @@
                 let incarnation = self.instances[from].as_ref().map_or(0, |instance| instance.incarnation);
                 let target_index = usize::try_from(target - 0xA000).unwrap();
                 let accepts = self.targets[&target].alive && self.is_connected(from, target_index);
-                let wait = INTERNAL_DELAY * 2 + self.link_delay(from);
+                let out = self.link_delay(from, 0).unwrap_or(CHECK_LIMIT);
+                let wait = INTERNAL_DELAY * 2 + out + self.pass_link(from, 0).unwrap_or(CHECK_LIMIT);
                 let (wait, outcome) = if accepts && wait < CHECK_LIMIT {
                     (wait, CheckOutcome::Accepted)
                 } else {
@@ -565,7 +659,9 @@
             }
             Effect::Reset(segment) => {
                 let Some(request) = self.request_by_flow.get(&segment.flow).copied() else { return };
-                self.schedule_after(CALLER_DELAY, Event::Reset(request, segment.flow));
+                if let Some(wait) = self.pass_link(from, 0) {
+                    self.schedule_after(CALLER_DELAY + wait, Event::Reset(request, segment.flow));
+                }
             }
         }
     }
@@ -578,8 +674,10 @@
             let index = (0..self.instances.len()).find(|index| instance_address(*index) == *address).unwrap();
             let Some(instance) = &self.instances[index] else { continue };
             let incarnation = instance.incarnation;
-            if self.is_connected(from, index) {
-                self.schedule_after(INTERNAL_DELAY, Event::PeerFrame(index, incarnation, Box::new(frame.clone())));
+            let (out, into) = (self.pass_link(from, PEER_MESSAGE_BYTES), self.pass_link(index, PEER_MESSAGE_BYTES));
+            if let Some((out, into)) = out.zip(into).filter(|_| self.is_connected(from, index)) {
+                let arrival = Event::PeerFrame(index, incarnation, Box::new(frame.clone()));
+                self.schedule_after(INTERNAL_DELAY + out + into, arrival);
             }
         }
     }
@@ -638,6 +736,16 @@
                 });
             }
             Event::SendData(request, attempt) => self.transmit_data(request, attempt),
+            Event::SendUploadPacket(request, attempt, packet, timeout) => {
+                self.send_upload_packet(request, attempt, packet, timeout);
+            }
+            Event::UploadAcknowledged(request, attempt) => self.continue_upload(request, attempt),
+            Event::SendUpload => self.send_upload(),
+            Event::ArriveAtLink(index, segment) => {
+                if let Some(wait) = self.pass_link(index, usize::from(segment.payload_bytes)) {
+                    self.schedule_after(wait, Event::ArriveAtInstance(index, segment));
+                }
+            }
             Event::Deadline(request) => self.deadline(request),
             Event::SendRequest => self.send_request(),
             Event::Probe => self.probe(),
@@ -688,37 +796,65 @@
         let request = self.requests.len();
         let persistent_caller = (!self.idle_flows.is_empty()).then(|| self.rng.random_range(0..self.idle_flows.len()));
         let idle = persistent_caller.and_then(|caller| self.idle_flows[caller].take());
-        let flow = idle.map_or_else(|| self.new_flow(), |idle| idle.flow);
+        let flow = idle.map_or_else(|| self.new_flow(service_address()), |idle| idle.flow);
+        self.push_request(flow, persistent_caller, idle.map_or(INITIAL_RECEIVED_BYTES, |idle| idle.received_bytes), 0);
+        if let Some(idle) = idle {
+            self.start_attempt_on(request, idle);
+        } else {
+            self.start_attempt(request, flow);
+        }
+        self.schedule_after(self.timeout, Event::Deadline(request));
+        let gap = -self.rng.random_range(f64::EPSILON..1.0).ln() / self.per_second;
+        self.schedule_after(Duration::from_secs_f64(gap), Event::SendRequest);
+    }
+
+    /// Starts uploads of 20,000 to 40,000 bytes at [`Self::uploads_per_second`] until that rate is zero.
+    pub fn send_upload(&mut self) {
+        if self.uploads_per_second <= 0.0 {
+            return;
+        }
+        let request = self.requests.len();
+        let flow = self.new_flow(upload_address());
+        let packets = self.rng.random_range(17..=34);
+        self.push_request(flow, None, INITIAL_RECEIVED_BYTES, packets);
+        self.start_attempt(request, flow);
+        self.schedule_after(self.timeout, Event::Deadline(request));
+        let gap = -self.rng.random_range(f64::EPSILON..1.0).ln() / self.uploads_per_second;
+        self.schedule_after(Duration::from_secs_f64(gap), Event::SendUpload);
+    }
+
+    fn push_request(
+        &mut self,
+        flow: FlowId,
+        persistent_caller: Option<usize>,
+        received_bytes: u32,
+        upload_packets: u32,
+    ) {
         self.requests.push(Request {
             sent_at: self.now,
             answered_at: None,
             run_count: 0,
             attempt_count: 0,
             flow,
+            upload_packets,
+            sent_packets: 0,
+            received_packets: BTreeSet::new(),
             established: None,
             attempt: 0,
             persistent_caller,
-            received_bytes: idle.map_or(INITIAL_RECEIVED_BYTES, |idle| idle.received_bytes),
+            received_bytes,
             reset_count: 0,
             failed: false,
             refused_attempts: 0,
             hung: false,
         });
-        if let Some(idle) = idle {
-            self.start_attempt_on(request, idle);
-        } else {
-            self.start_attempt(request, flow);
-        }
-        self.schedule_after(self.timeout, Event::Deadline(request));
-        let gap = -self.rng.random_range(f64::EPSILON..1.0).ln() / self.per_second;
-        self.schedule_after(Duration::from_secs_f64(gap), Event::SendRequest);
     }
 
-    fn new_flow(&mut self) -> FlowId {
+    fn new_flow(&mut self, service: SocketAddrV4) -> FlowId {
         self.next_port += 1;
         let [_, b, c, d] = self.next_port.to_be_bytes();
         let caller = SocketAddrV4::new(Ipv4Addr::new(100, 64, b, c), 1_000 + u16::from(d));
-        FlowId { caller, service: service_address() }
+        FlowId { caller, service }
     }
 
     fn start_attempt(&mut self, request: usize, flow: FlowId) {
@@ -728,6 +864,8 @@
         state.flow = flow;
         state.established = None;
         state.received_bytes = INITIAL_RECEIVED_BYTES;
+        state.sent_packets = 0;
+        state.received_packets.clear();
         let attempt = state.attempt;
         self.request_by_flow.insert(flow, request);
         for (retransmissions, wait) in [(0, 0), (1, 200), (2, 600)] {
@@ -747,8 +885,56 @@
         self.schedule_data(request, attempt);
     }
 
+    /// Sends the packets of an upload that its window allows.
+    fn continue_upload(&mut self, request: usize, attempt: u32) {
+        let state = &mut self.requests[request];
+        if state.attempt != attempt {
+            return;
+        }
+        let acknowledged = contiguous(&state.received_packets);
+        let mut first_packets = Vec::new();
+        while state.sent_packets < state.upload_packets.min(acknowledged + UPLOAD_WINDOW) {
+            let packet = state.sent_packets;
+            state.sent_packets += 1;
+            first_packets.push(packet);
+        }
+        for packet in first_packets {
+            self.send_upload_packet(request, attempt, packet, ms(200));
+        }
+    }
+
+    /// Sends a packet of an upload, and again after `timeout`, unless the target has received it. The timeout doubles up to
+    /// 1.6 s.
+    fn send_upload_packet(&mut self, request: usize, attempt: u32, packet: u32, timeout: Duration) {
+        let state = &self.requests[request];
+        let Some((_, cookie)) = state.established.filter(|_| self.is_open(request, attempt)) else { return };
+        if !state.received_packets.contains(&packet) {
+            let sequence = SEQUENCE + 1 + packet * u32::from(UPLOAD_PACKET_BYTES);
+            let received_bytes = state.received_bytes;
+            self.send_segment(request, SegmentKind::Ack, sequence, received_bytes, UPLOAD_PACKET_BYTES, cookie);
+            let next = Event::SendUploadPacket(request, attempt, packet, (timeout * 2).min(ms(1_600)));
+            self.schedule_after(timeout, next);
+        }
+    }
+
+    /// Records a packet of a request at its target. Returns whether the target has the whole request.
+    fn receive_data(&mut self, request: usize, segment: &Segment) -> bool {
+        let state = &mut self.requests[request];
+        if state.upload_packets == 0 || state.flow != segment.flow {
+            return state.upload_packets == 0;
+        }
+        state.received_packets.insert((segment.sequence - SEQUENCE - 1) / u32::from(UPLOAD_PACKET_BYTES));
+        let (attempt, complete) = (state.attempt, state.received_packets.len() == state.upload_packets as usize);
+        self.schedule_after(CALLER_DELAY, Event::UploadAcknowledged(request, attempt));
+        complete
+    }
+
     /// Schedules the transmission of a request and its retransmissions, which stop once an answer has arrived.
     fn schedule_data(&mut self, request: usize, attempt: u32) {
+        if self.requests[request].upload_packets > 0 {
+            self.continue_upload(request, attempt);
+            return;
+        }
         for wait in [0, 200, 600, 1_400] {
             self.schedule_after(ms(wait), Event::SendData(request, attempt));
         }
@@ -790,7 +976,7 @@
 
     fn retry(&mut self, request: usize) {
         if self.requests[request].attempt_count <= MAX_RETRIES {
-            let flow = self.new_flow();
+            let flow = self.new_flow(self.requests[request].flow.service);
             self.start_attempt(request, flow);
         }
     }
@@ -823,13 +1009,29 @@
         acknowledged: u32,
         payload_bytes: u16,
         cookie: Cookie,
+    ) {
+        self.send_segment(request, kind, SEQUENCE, acknowledged, payload_bytes, cookie);
+    }
+
+    fn send_segment(
+        &mut self,
+        request: usize,
+        kind: SegmentKind,
+        sequence: u32,
+        acknowledged: u32,
+        payload_bytes: u16,
+        cookie: Cookie,
     ) {
         let flow = self.requests[request].flow;
-        let sequence = 7;
         let segment = Segment { flow, kind, sequence, acknowledged, payload_bytes, cookie };
         let up = self.reachable_instances(request);
         if let Some(pick) = up.get(usize::try_from(flow.hash64() % up.len().max(1) as u64).unwrap()) {
-            self.schedule_after(CALLER_DELAY, Event::ArriveAtInstance(*pick, segment));
+            let arrival = if self.narrow_links.contains_key(pick) {
+                Event::ArriveAtLink(*pick, segment)
+            } else {
+                Event::ArriveAtInstance(*pick, segment)
+            };
+            self.schedule_after(CALLER_DELAY, arrival);
         }
     }
 
@@ -843,6 +1045,10 @@
     fn arrive_at_target(&mut self, id: TargetId, segment: Segment) {
         let request = self.request_by_flow[&segment.flow];
         let now = self.now;
+        let is_data = segment.kind == SegmentKind::Ack && segment.payload_bytes > 0;
+        if is_data && self.targets[&id].alive && !self.receive_data(request, &segment) {
+            return;
+        }
         let Some(target) = self.targets.get_mut(&id).filter(|target| target.alive) else { return };
         match segment.kind {
             SegmentKind::Syn { .. } => {
@@ -878,8 +1084,9 @@
         }
         let Some(mut queued) = target.queue.pop_front() else { return };
         target.running += 1;
-        let mut duration = self.service_time.mul_f64(spread * target.slowdown);
         let state = &mut self.requests[queued.request];
+        let usual = if state.upload_packets > 0 { UPLOAD_SERVICE_TIME } else { self.service_time };
+        let mut duration = usual.mul_f64(spread * target.slowdown);
         state.run_count += 1;
         if target.hang_share > 0.0 && self.rng.random_bool(target.hang_share) {
             state.hung = true;
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -7,6 +7,7 @@
 mod domain_loss;
 mod fleet;
 mod hanging;
+mod link_budget;
 mod load;
 mod mechanisms;
 mod members;
--- a/crates/core/tests/direct/readiness.rs
+++ b/crates/core/tests/direct/readiness.rs
@@ -8,6 +8,7 @@
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::dispatcher::Dispatcher;
 use hawthornshift_core::direct::dispatcher::DispatcherConfig;
+use hawthornshift_core::direct::link_budget::WIDE_LINK_MBPS;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
 use hawthornshift_core::direct::readiness::Readiness;
 use hawthornshift_core::direct::store_entries::Delta;
@@ -20,6 +21,7 @@
         id: 1,
         domain: domain(0),
         evacuation_grace: Duration::from_secs(4),
+        link_mbps: WIDE_LINK_MBPS,
         mechanisms: Mechanisms::default(),
     };
     let mut dispatcher = Dispatcher::new(config);
--- a/crates/core/tests/direct/rules.rs
+++ b/crates/core/tests/direct/rules.rs
@@ -23,6 +23,7 @@
 use hawthornshift_core::direct::dispatcher::DispatcherConfig;
 use hawthornshift_core::direct::dispatcher::Effect;
 use hawthornshift_core::direct::dispatcher::Packet;
+use hawthornshift_core::direct::link_budget::WIDE_LINK_MBPS;
 use hawthornshift_core::direct::load_report::LoadReport;
 use hawthornshift_core::direct::load_report::OpenRequest;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
@@ -42,6 +43,7 @@
         id: 1,
         domain: domain(0),
         evacuation_grace: Duration::from_secs(4),
+        link_mbps: WIDE_LINK_MBPS,
         mechanisms: Mechanisms::default(),
     })
 }
--- a/crates/direct/src/dump.rs
+++ b/crates/direct/src/dump.rs
@@ -9,6 +9,7 @@
 use hawthornshift_core::direct::directory::Target;
 use hawthornshift_core::direct::dispatcher::Dispatcher;
 use hawthornshift_core::direct::fleet::Fleet;
+use hawthornshift_core::direct::link_budget::LinkStatus;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
 use hawthornshift_core::message::MemberUpdate;
 
@@ -63,6 +64,7 @@
     news_age_ms: u128,
     flows: usize,
     waiting: usize,
+    link: Option<LinkStatus>,
     targets: Vec<TargetState<'a>>,
     members: Vec<&'a MemberUpdate>,
     outcomes: &'a OutcomeCounts,
@@ -112,6 +114,7 @@
         news_age_ms: fleet.watcher_role().age(now).as_millis(),
         flows,
         waiting,
+        link: dispatcher.link_status(now),
         targets: targets.collect(),
         members: fleet.members().collect(),
         outcomes: dispatcher.counts(),
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -8,6 +8,7 @@
 use crate::dump::Sources;
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::decision::Outcome;
+use hawthornshift_core::direct::link_budget::LinkState;
 use hawthornshift_core::direct::message::FrameKind;
 
 /// Exported quantiles of the latency histograms, with their label values.
@@ -49,6 +50,14 @@
     gauge!("hawthornshift_targets_unreachable").set(gauge_value(sources.dispatcher.unreachable_count()));
     gauge!("hawthornshift_targets_failing").set(gauge_value(sources.dispatcher.failing_count(now)));
     gauge!("hawthornshift_limits_in_force").set(gauge_value(sources.dispatcher.active_limit_count()));
+    // A link that is not narrow has no budget; its gauges stay at zero.
+    let link = sources.dispatcher.link_status(now).unwrap_or_default();
+    gauge!("hawthornshift_link_congested").set(flag(link.state == LinkState::Congested));
+    gauge!("hawthornshift_link_capacity_mbps").set(link.capacity_mbps);
+    gauge!("hawthornshift_link_used_mbps").set(link.used_mbps);
+    gauge!("hawthornshift_link_delay_ms").set(link.delay_ms);
+    gauge!("hawthornshift_link_heavy_flows").set(gauge_value(link.heavy_flows));
+    counter!("hawthornshift_link_refused_total").absolute(link.refused);
     let accepting = directory.targets().filter(|target| target.takes_flows(now)).count();
     gauge!("hawthornshift_targets_listed").set(gauge_value(accepting));
 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -125,6 +125,7 @@
             id,
             domain: platform.failure_domain.clone(),
             evacuation_grace: platform.evacuation_bound.mul_f64(EVACUATION_GRACE_FRACTION),
+            link_mbps: platform.link_mbps,
             mechanisms: config.mechanisms,
         });
         let (tx, rx) = mpsc::channel(command::COMMAND_QUEUE_LEN);
@@ -430,6 +431,12 @@
             info!(self.log, "target reachability"; "target" => format!("{:x}", change.target),
                 "is" => reachability, "failed_checks" => change.failed, "revision" => state.revision);
         }
+        for link in self.dispatcher.take_link_changes() {
+            let state: &str = link.state.into();
+            info!(self.log, "link"; "is" => state, "capacity_mbps" => link.capacity_mbps, "used_mbps" => link.used_mbps,
+                "delay_ms" => link.delay_ms, "delay_age_ms" => link.delay_age_ms, "heavy_flows" => link.heavy_flows,
+                "refused" => link.refused);
+        }
         for decision in self.dispatcher.take_decisions() {
             self.decision_log.write(now, &decision, state);
         }
