--- a/crates/core/tests/direct/reachability.rs
+++ b/crates/core/tests/direct/reachability.rs
@@ -14,6 +14,7 @@
 use hawthornshift_core::direct::dispatcher::Dispatcher;
 use hawthornshift_core::direct::dispatcher::DispatcherConfig;
 use hawthornshift_core::direct::dispatcher::Effect;
+use hawthornshift_core::direct::link_budget::WIDE_LINK_MBPS;
 use hawthornshift_core::direct::load_report::LoadReport;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
 use hawthornshift_core::direct::reachability::CHECK_LIMIT;
@@ -230,8 +231,13 @@
 /// be told although nobody asked, and when its id returns with another start, the finding must end.
 #[test]
 fn a_target_whose_flows_are_reset_gets_no_new_ones() {
-    let config =
-        DispatcherConfig { id: 1, domain: domain(0), evacuation_grace: secs(4), mechanisms: Mechanisms::default() };
+    let config = DispatcherConfig {
+        id: 1,
+        domain: domain(0),
+        evacuation_grace: secs(4),
+        link_mbps: WIDE_LINK_MBPS,
+        mechanisms: Mechanisms::default(),
+    };
     let mut dispatcher = Dispatcher::new(config);
     let (lost, live) = (target_id(0), target_id(4));
     dispatcher.apply_delta(Duration::ZERO, &store_snapshot(8), &mut Vec::new());
