Place no flow while the directory is known to be behind

Cause: an instance whose link was full received announcements with a higher revision but neither the pushed changes nor the answers to its pulls. It decided by the age of the last announcement (271 ms) and placed a flow on a target that had been draining for 5,042 ms.

Change: `directory_lag` records since when the instance has known of a revision that it lacks, and which peers have it. Once that is longer ago than the drain bound (`bounds.drain-ms`, 3 s if absent) less 1.2 s, and most of the peers heard since have had the revision for 1 s, new and waiting flows are reset (`reset-behind`), copies of earlier SYNs are dropped and readiness is `directory-behind`. Established flows pass. If most instances are behind, all serve as before. The delta with the revision ends it at once. Pulls go to each peer that has the revision in turn, with backoff from the fourth on. New: `directory_behind_seconds`, `behind_ms` in the dump and in flow lines, two log lines, `--without directory-lag`.

Not measured on real processes.

--- a/crates/core/src/direct/decision.rs
+++ b/crates/core/src/direct/decision.rs
@@ -29,6 +29,8 @@
     ResetNoTarget,
     /// A new flow was reset since every target is full; it was sent to no target.
     ResetFull,
+    /// A new flow was reset since the directory of this instance is behind; it was sent to no target.
+    ResetBehind,
     /// An open flow was reset since its target is out of reach or gone. Its caller may open a new flow at once.
     ResetUnreachable,
     /// A packet was dropped since this instance does not have the configuration and the targets yet.
--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -23,6 +23,8 @@
 use crate::direct::decision::Outcome;
 use crate::direct::decision::OutcomeCounts;
 use crate::direct::directory::Directory;
+use crate::direct::directory_lag::MissingRevision;
+use crate::direct::directory_lag::PlacementGate;
 use crate::direct::domain_reach::DomainReach;
 use crate::direct::failures::Failures;
 use crate::direct::flows::FlowRecords;
@@ -142,6 +144,7 @@
     concurrency_limit: ConcurrencyLimit,
     adaptive_limits: AdaptiveLimits,
     service_rates: ServiceRates,
+    placement_gate: PlacementGate,
     /// End of the period in which the state may be stale because this process was paused.
     stale_until: Timestamp,
     /// SYNs buffered before the directory was synced, or while it may be stale.
@@ -203,6 +206,7 @@
             concurrency_limit: ConcurrencyLimit::default(),
             adaptive_limits: AdaptiveLimits::default(),
             service_rates: ServiceRates::default(),
+            placement_gate: PlacementGate::default(),
             stale_until: Timestamp::ZERO,
             next_review: Timestamp::ZERO,
             early_syns: Vec::new(),
@@ -369,7 +373,26 @@
         };
         let others_in_reach = others_in_reach || !self.is_enabled(Mechanism::ReadinessByReach);
         let readiness = inputs.readiness(now, others_in_reach);
-        self.unready_limit.apply(now, readiness)
+        let readiness = self.unready_limit.apply(now, readiness);
+        let behind = readiness == Readiness::Ready && self.missing_revision(now).is_some();
+        if behind { Readiness::DirectoryBehind } else { readiness }
+    }
+
+    /// Sets the time after which a draining target must not get a new flow.
+    pub fn set_drain_bound(&mut self, drain_bound: Duration) {
+        self.placement_gate = PlacementGate::new(drain_bound);
+    }
+
+    /// Sets the revision that this instance lacks and most of its peers have.
+    pub fn set_missing_revision(&mut self, missing: Option<MissingRevision>) {
+        self.placement_gate.set_missing(missing);
+    }
+
+    /// Returns the revision that this instance has lacked for so long that it places no new flow, if there is one.
+    #[must_use]
+    pub fn missing_revision(&self, now: Timestamp) -> Option<MissingRevision> {
+        let behind = self.placement_gate.behind(now, self.directory.revision());
+        behind.filter(|_| self.is_enabled(Mechanism::DirectoryLag))
     }
 
     /// Returns whether new flows may be placed: the directory is synced and not possibly stale.
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -48,6 +48,10 @@
     /// overdue. A new SYN is placed, queued or rejected.
     pub(super) fn handle_syn(&mut self, now: Timestamp, syn: &Syn<'_>, route: &Route, effects: &mut Vec<Effect>) {
         let Syn { segment, retransmissions, packet, received_at } = *syn;
+        if self.missing_revision(now).is_some() {
+            self.reject_while_behind(now, syn, route, effects);
+            return;
+        }
         if let Some(flow) = self.flows.get_mut(&segment.flow).filter(|flow| flow.sequence == segment.sequence) {
             flow.last_seen = now;
             let target = flow.target;
@@ -102,6 +106,20 @@
         }
     }
 
+    /// Rejects a SYN while the directory is behind. A copy of a recorded SYN is dropped: its target may be draining, and
+    /// the flow may be open there.
+    fn reject_while_behind(&mut self, now: Timestamp, syn: &Syn<'_>, route: &Route, effects: &mut Vec<Effect>) {
+        let Syn { segment, retransmissions, packet, received_at } = *syn;
+        if self.flows.get(&segment.flow).is_some_and(|flow| flow.sequence == segment.sequence) {
+            self.record_decision(Decision::new(segment.flow, Outcome::DroppedNotReady));
+            return;
+        }
+        self.pending.remove(segment.flow.flow_hash());
+        let pending =
+            PendingFlow::new(*segment, packet, received_at, retransmissions, route.latency_objective, route.timeout);
+        self.reject_pending(now, &pending, Outcome::ResetBehind, effects);
+    }
+
     /// Returns whether a flow that finds no free slot could not be served if it were queued.
     fn cannot_be_served(&self, now: Timestamp, pending: &PendingFlow) -> bool {
         if !self.is_enabled(Mechanism::Admission) {
@@ -192,6 +210,9 @@
     /// Selects a target for a flow. A late flow without earlier attempts gets none while this instance knows no other
     /// and its concurrency limit is reached.
     pub(super) fn choose(&self, now: Timestamp, pending: &PendingFlow, limit: Limit) -> Choice {
+        if self.missing_revision(now).is_some() {
+            return Choice::NoTarget;
+        }
         let hash = pending.segment.flow.hash64();
         let alone = self.instances.len() <= 1;
         let late = pending.is_late(now) && pending.tried.is_empty();
@@ -343,6 +364,12 @@
         if self.pending.is_empty() {
             return;
         }
+        if self.missing_revision(now).is_some() {
+            while let Some(pending) = self.pending.take(0) {
+                self.reject_pending(now, &pending, Outcome::ResetBehind, effects);
+            }
+            return;
+        }
         self.requeue_late(now, effects);
         // A service without a free slot for flows in time has none for late flows either.
         let mut full: Vec<String> = Vec::new();
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -25,6 +25,8 @@
 use self::view_sync::MAX_VIEW_PARTS;
 use self::view_sync::ViewSync;
 use crate::Timestamp;
+use crate::direct::directory_lag::DirectoryLag;
+use crate::direct::directory_lag::MissingRevision;
 use crate::direct::load_report::LoadReport;
 use crate::direct::message::Frame;
 use crate::direct::message::Heartbeat;
@@ -114,6 +116,7 @@
     up_to_date_peers: VecDeque<SocketAddr>,
     /// The highest revision that a peer announced and that is not known here yet, if any.
     pending_fetch: Option<PendingFetch>,
+    directory_lag: DirectoryLag,
     view_sync: ViewSync,
     /// Whether the set of serving instances changed since the rest of the process was last notified.
     change_pending: bool,
@@ -141,6 +144,7 @@
             last_remote_domain_message: None,
             up_to_date_peers: VecDeque::new(),
             pending_fetch: None,
+            directory_lag: DirectoryLag::default(),
             view_sync: ViewSync::default(),
             change_pending: false,
             next_change_at: now,
@@ -159,6 +163,18 @@
         &mut self.watcher_role
     }
 
+    /// Returns for how long this instance has known of a revision of the store that it does not have.
+    #[must_use]
+    pub fn behind_for(&self, now: Timestamp) -> Duration {
+        self.directory_lag.behind_for(now)
+    }
+
+    /// Returns the lowest revision of the store that this instance lacks if most of its peers have it.
+    #[must_use]
+    pub fn missing_revision(&self, now: Timestamp) -> Option<MissingRevision> {
+        self.directory_lag.missing_here(now)
+    }
+
     /// Returns the other instances as they are known here.
     pub fn members(&self) -> impl Iterator<Item = &MemberUpdate> {
         self.membership.members()
@@ -327,6 +343,7 @@
         self.membership.merge_updates(now, &heartbeat.members);
         if heartbeat.revision > 0 {
             self.record_up_to_date_peer(sender.control);
+            self.directory_lag.record_report(now, sender.id, sender.control, heartbeat.revision);
             self.watcher_role.receive_heartbeat_age(now, heartbeat.age);
         }
         self.schedule_fetch(now, heartbeat.revision, sender.control, revision);
@@ -442,6 +459,8 @@
         }
         let probes = self.membership.tick(now, &mut self.rng);
         effects.extend(probes.into_iter().filter_map(|probe| self.probe_effect(now, probe, revision)));
+        let peers = self.membership.serving().count().saturating_sub(1);
+        self.directory_lag.review(now, revision, peers);
         effects.extend(self.due_fetch(now, revision));
         effects.extend(self.request_view_from_any(now));
         effects.extend(self.watcher_role.tick(now, self.rank()).map(FleetEffect::RoleChange));
--- a/crates/core/src/direct/fleet/store_updates.rs
+++ b/crates/core/src/direct/fleet/store_updates.rs
@@ -140,12 +140,14 @@
         revision: Revision,
     ) -> Option<FleetEffect> {
         let announced = update.announcement.revision;
+        self.directory_lag.record_report(now, sender.id, sender.control, update.sender_revision);
+        self.directory_lag.heard_of(now, announced, revision);
         if announced <= revision {
             return Some(FleetEffect::UpToDate);
         }
         if update.sender_revision >= announced {
             self.record_up_to_date_peer(sender.control);
-            return Some(FleetEffect::Pull(sender.control));
+            return self.directory_lag.take_pull(now, sender.control).map(FleetEffect::Pull);
         }
         self.schedule_fetch(now, announced, sender.control, revision);
         None
@@ -153,6 +155,7 @@
 
     /// Records that a peer announced a revision that is not known here.
     pub(super) fn schedule_fetch(&mut self, now: Timestamp, announced: Revision, from: SocketAddr, revision: Revision) {
+        self.directory_lag.heard_of(now, announced, revision);
         if announced > self.pending_fetch.map_or(revision, |pending_fetch| pending_fetch.revision.max(revision)) {
             let due_at = self.pending_fetch.map_or(now + FETCH_DELAY, |pending_fetch| pending_fetch.due_at);
             self.pending_fetch = Some(PendingFetch { revision: announced, from, due_at });
@@ -167,7 +170,8 @@
         self.pending_fetch = self.pending_fetch.filter(|pending_fetch| pending_fetch.revision > revision);
         let pending_fetch = self.pending_fetch.as_mut().filter(|pending_fetch| now >= pending_fetch.due_at)?;
         pending_fetch.due_at = now + FETCH_DELAY;
-        Some(FleetEffect::Pull(pending_fetch.from))
+        let from = pending_fetch.from;
+        self.directory_lag.take_pull(now, from).map(FleetEffect::Pull)
     }
 }
 
--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -30,6 +30,9 @@
     /// Lets findings that targets are out of reach expire, and checks these targets again. A guarantee for open flows
     /// depends on it.
     FindingAge,
+    /// Places no new flow while the directory has been behind those of the peers for too long. The bound for draining
+    /// targets depends on it.
+    DirectoryLag,
     /// Ejects targets whose answers look like failures.
     FailureDetection,
     /// Ejects targets that complete handshakes but do not answer.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -5,7 +5,7 @@
 //!
 //! - [`dispatcher`] decides about each packet; [`segment`] is the part of a packet that it sees.
 //! - [`directory`] is the local copy of the store's contents, built from [`store_entries`] that instances exchange;
-//!   [`routes`] is the configuration in it.
+//!   [`routes`] is the configuration in it, and [`directory_lag`] detects that the copy is behind.
 //! - [`placement`] selects a target. It uses [`open_requests`] (the load of the targets, shared between instances in
 //!   [`load_report`]), [`outlier`] and [`domain_reach`] (targets and whole failure domains that appear unresponsive),
 //!   [`failures`] (targets that answer with failures or, according to [`answer_times`], complete handshakes but do not
@@ -29,6 +29,7 @@
 pub mod concurrency_limit;
 pub mod decision;
 pub mod directory;
+pub mod directory_lag;
 pub mod dispatcher;
 pub mod domain_reach;
 pub mod failures;
--- a/crates/core/src/direct/readiness.rs
+++ b/crates/core/src/direct/readiness.rs
@@ -44,6 +44,8 @@
     NotSynced,
     /// No target that may be used is reachable from this instance.
     NoTargetInReach,
+    /// The directory has been behind those of the peers for too long to place new flows.
+    DirectoryBehind,
 }
 
 /// Inputs of the readiness decision.
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -273,6 +273,8 @@
     was_cut: bool,
     /// An instance whose link to targets is congested, and the time that packets wait there.
     pub congested_link: Option<(usize, Duration)>,
+    /// Instances to which pushed store updates and the answers to pulls are lost.
+    pub updates_lost_at: Vec<usize>,
     /// Whether requests are safe to repeat.
     pub safe_requests: bool,
     /// What a target with a full queue does.
@@ -321,6 +323,7 @@
             cut_domain: None,
             was_cut: false,
             congested_link: None,
+            updates_lost_at: Vec::new(),
             safe_requests: false,
             when_full: WhenFull::Silent,
             objective: LATENCY_OBJECTIVE,
@@ -411,9 +414,10 @@
         self.schedule_at(time, Event::Start(index));
     }
 
-    /// Applies a store update at every running instance.
+    /// Applies a store update at every running instance that updates reach.
     pub fn publish(&mut self, delta: &Delta) {
-        for index in 0..self.instances.len() {
+        for index in (0..self.instances.len()).filter(|index| !self.updates_lost_at.contains(index)).collect::<Vec<_>>()
+        {
             self.with(index, |instance, now, effects| {
                 instance.dispatcher.apply_delta(now, delta, effects);
             });
@@ -604,7 +608,8 @@
                 FleetEffect::ApplyDelta(delta) => {
                     self.with(index, |instance, now, effects| instance.dispatcher.apply_delta(now, &delta, effects));
                 }
-                FleetEffect::Pull(_) | FleetEffect::RoleChange(_) | FleetEffect::UpToDate => {}
+                FleetEffect::Pull(from) => self.pull_news(index, from),
+                FleetEffect::RoleChange(_) | FleetEffect::UpToDate => {}
             }
         }
     }
@@ -659,6 +664,22 @@
         }
     }
 
+    /// Pulls the changes since the revision of an instance from a peer.
+    fn pull_news(&mut self, index: usize, from: SocketAddr) {
+        let Some((incarnation, since)) = self.instances[index]
+            .as_ref()
+            .map(|instance| (instance.incarnation, instance.dispatcher.directory().fetch_since()))
+        else {
+            return;
+        };
+        let peer = (0..self.instances.len()).find(|peer| instance_address(*peer) == from);
+        let reached = peer.filter(|peer| self.is_connected(index, *peer) && !self.updates_lost_at.contains(&index));
+        let peer = reached.and_then(|peer| self.instances[peer].as_ref());
+        if let Some(handover) = peer.map(|peer| peer.dispatcher.handover(self.now, since)) {
+            self.schedule_after(ms(4), Event::HandoverReceived(index, incarnation, Box::new(handover)));
+        }
+    }
+
     /// Pulls a handover from a reachable peer, as an exchange over the network would.
     fn pull_from_peer(&mut self, index: usize, incarnation: u64) {
         let now = self.now;
@@ -678,7 +699,9 @@
         let effects = self.with(index, |instance, now, effects| {
             instance.dispatcher.tick(now, effects);
             let revision = instance.dispatcher.directory().revision();
-            instance.fleet.tick(now, revision)
+            let effects = instance.fleet.tick(now, revision);
+            instance.dispatcher.set_missing_revision(instance.fleet.missing_revision(now));
+            effects
         });
         self.carry_out_fleet_effects(index, effects.unwrap_or_default());
         self.schedule_after(TICK_PERIOD, Event::Tick(index, incarnation));
@@ -973,6 +996,12 @@
             .filter(move |it| it.outcome == outcome)
     }
 
+    /// Returns the time of each decision with an outcome, and the instance that made it.
+    pub fn decision_times(&self, outcome: Outcome) -> impl Iterator<Item = (Timestamp, usize)> {
+        let all = self.decisions_by_flow.values().flatten();
+        all.filter(move |(_, _, decision)| decision.outcome == outcome).map(|(at, by, _)| (*at, *by))
+    }
+
     /// Returns the number of ejected targets, summed over all instances.
     pub fn ejected_total(&self) -> usize {
         self.instances.iter().flatten().map(|instance| instance.dispatcher.failing_count(self.now)).sum()
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -4,6 +4,7 @@
 mod bootstrap;
 mod convergence;
 mod directory;
+mod directory_lag;
 mod domain_loss;
 mod fleet;
 mod hanging;
--- a/crates/direct/src/decision_log.rs
+++ b/crates/direct/src/decision_log.rs
@@ -25,6 +25,8 @@
     pub version: u64,
     /// Time since the state was last confirmed to be up to date with the store.
     pub age: Duration,
+    /// Time since the instance first heard of a revision that it does not have; zero if it has all that it knows of.
+    pub behind: Duration,
 }
 
 /// Writes one line per decision, up to a maximum per second for each outcome.
@@ -79,6 +81,7 @@
             "revision" => state.revision,
             "version" => state.version,
             "age_ms" => millis(state.age),
+            "behind_ms" => millis(state.behind),
         );
     }
 
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -37,6 +37,7 @@
     gauge!("hawthornshift_ready").set(flag(sources.ready));
     gauge!("hawthornshift_watching_store").set(flag(sources.fleet.watcher_role().is_watching()));
     gauge!("hawthornshift_news_age_seconds").set(sources.fleet.watcher_role().age(now).as_secs_f64());
+    gauge!("hawthornshift_directory_behind_seconds").set(sources.fleet.behind_for(now).as_secs_f64());
     gauge!("hawthornshift_store_revision")
         .set(gauge_value(usize::try_from(directory.revision()).unwrap_or(usize::MAX)));
     gauge!("hawthornshift_configuration_version")
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -97,6 +97,7 @@
     stopping: Option<Stopping>,
     is_pulling: bool,
     is_store_unavailable: bool,
+    is_directory_behind: bool,
     bootstrap: Bootstrap,
     changes: ChangeLog,
     next_fleet_tick: Timestamp,
@@ -121,12 +122,13 @@
             control: platform.peer_address,
             forward: platform.peer_address,
         };
-        let dispatcher = Dispatcher::new(DispatcherConfig {
+        let mut dispatcher = Dispatcher::new(DispatcherConfig {
             id,
             domain: platform.failure_domain.clone(),
             evacuation_grace: platform.evacuation_bound.mul_f64(EVACUATION_GRACE_FRACTION),
             mechanisms: config.mechanisms,
         });
+        dispatcher.set_drain_bound(platform.drain_bound);
         let (tx, rx) = mpsc::channel(command::COMMAND_QUEUE_LEN);
         let (reader_mode, reader_mode_rx) = watch::channel(StoreReaderMode::Idle);
         let ready = Arc::new(AtomicBool::new(false));
@@ -160,6 +162,7 @@
             stopping: None,
             is_pulling: false,
             is_store_unavailable: false,
+            is_directory_behind: false,
             bootstrap,
             changes: ChangeLog::default(),
             next_fleet_tick: Timestamp::ZERO,
@@ -399,6 +402,7 @@
         let effects = self.fleet.tick(now, self.dispatcher.directory().revision());
         self.execute_fleet_effects(effects);
         self.log_changes(now);
+        self.update_missing_revision(now);
         self.update_readiness();
         if now >= self.next_settings_check {
             self.next_settings_check = now + SETTINGS_CHECK_PERIOD;
@@ -424,7 +428,8 @@
         }
         let directory = self.dispatcher.directory();
         let age = self.fleet.watcher_role().age(now);
-        let state = StateSummary { revision: directory.revision(), version: directory.version(), age };
+        let behind = self.fleet.behind_for(now);
+        let state = StateSummary { revision: directory.revision(), version: directory.version(), age, behind };
         for change in self.dispatcher.take_reachability_changes() {
             self.decision_log.write_reachability(now, &change, state.revision);
         }
--- a/crates/direct/src/process/store_updates.rs
+++ b/crates/direct/src/process/store_updates.rs
@@ -39,6 +39,28 @@
         self.reader_mode.send_replace(if watching { StoreReaderMode::Watch { after } } else { StoreReaderMode::Idle });
     }
 
+    /// Passes the revision that this instance lacks to the dispatcher, and logs when that begins and ceases to prevent
+    /// new flows.
+    pub(super) fn update_missing_revision(&mut self, now: Timestamp) {
+        let missing = self.fleet.missing_revision(now);
+        self.dispatcher.set_missing_revision(missing);
+        let behind = self.dispatcher.missing_revision(now);
+        let revision = self.dispatcher.directory().revision();
+        let was_behind = std::mem::replace(&mut self.is_directory_behind, behind.is_some());
+        match behind {
+            Some(missing) if !was_behind => {
+                warn!(self.log, "directory behind"; "revision" => revision, "missing" => missing.revision,
+                    "behind_ms" => millis(now.saturating_sub(missing.known_since)), "peers_ahead" => missing.peers_ahead,
+                    "peers_heard" => missing.peers_heard, "age_ms" => millis(self.fleet.watcher_role().age(now)));
+            }
+            None if was_behind => {
+                info!(self.log, "directory no longer behind"; "revision" => revision,
+                    "behind_ms" => millis(self.fleet.behind_for(now)));
+            }
+            Some(_) | None => {}
+        }
+    }
+
     /// Requests a handover of newer entries from an instance, unless a request is in progress.
     pub(super) fn pull(&mut self, from: SocketAddr) {
         if std::mem::replace(&mut self.is_pulling, true) {
