--- a/crates/core/src/direct/decision.rs
+++ b/crates/core/src/direct/decision.rs
@@ -32,6 +32,8 @@
     /// A new flow of many bytes was reset since this instance's own link could not carry it in time; it was sent to no
     /// target.
     ResetLink,
+    /// A new flow was reset since the directory of this instance is behind; it was sent to no target.
+    ResetBehind,
     /// An open flow was reset since its target is out of reach or gone. Its caller may open a new flow at once.
     ResetUnreachable,
     /// A packet was dropped since this instance does not have the configuration and the targets yet.
