Guarantee each route a share of a service's slots

Cause: admission counted all waiting flows as ahead, and nothing at the slots, at the adaptive limit and in a full queue distinguished routes. A route whose demand did not grow lost requests to another one that asked for eight times its usual demand.

Change: routes of different priority that share a service have max-min fair shares of the slots that an instance may use, by open and waiting flows. A route within its share is placed and queued first, may exceed the limits that others have reached, and is not rejected because of flows behind it. A route that asks for more than its share gets free slots, but no queues of overloaded targets. Nothing changes while no flow waits and no limit is in force, or if all routes have one priority. The switch is fair-share.

The simulation has a second route to the same service.

--- a/crates/core/src/direct/adaptive_limit.rs
+++ b/crates/core/src/direct/adaptive_limit.rs
@@ -124,6 +124,12 @@
         self.services.get(service)?.get(domain)?.size
     }
 
+    /// Returns whether a limit is in force for a service in any failure domain.
+    #[must_use]
+    pub fn is_limited(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|domains| domains.values().any(|limit| limit.size.is_some()))
+    }
+
     /// Returns the number of limits in force.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -6,6 +6,7 @@
 mod established;
 mod reporting;
 mod resetting;
+mod sharing;
 mod syn;
 mod timers;
 
@@ -25,6 +26,7 @@
 use crate::direct::directory::Directory;
 use crate::direct::domain_reach::DomainReach;
 use crate::direct::failures::Failures;
+use crate::direct::fair_share::FairShares;
 use crate::direct::flows::FlowRecords;
 use crate::direct::handshake_timeout::HandshakeTimeout;
 use crate::direct::load_report::LoadReport;
@@ -142,6 +144,8 @@
     concurrency_limit: ConcurrencyLimit,
     adaptive_limits: AdaptiveLimits,
     service_rates: ServiceRates,
+    fair_shares: FairShares,
+    guaranteed_count: u64,
     /// End of the period in which the state may be stale because this process was paused.
     stale_until: Timestamp,
     /// SYNs buffered before the directory was synced, or while it may be stale.
@@ -204,6 +208,8 @@
             concurrency_limit: ConcurrencyLimit::default(),
             adaptive_limits: AdaptiveLimits::default(),
             service_rates: ServiceRates::default(),
+            fair_shares: FairShares::default(),
+            guaranteed_count: 0,
             stale_until: Timestamp::ZERO,
             next_review: Timestamp::ZERO,
             early_syns: Vec::new(),
@@ -326,6 +332,7 @@
 
     /// Applies a delta of the store. Returns whether it changed the directory.
     pub fn apply_delta(&mut self, now: Timestamp, delta: &Delta, effects: &mut Vec<Effect>) -> bool {
+        let version = self.directory.version();
         let changed = self.directory.apply(now, delta);
         if changed {
             let directory = &self.directory;
@@ -336,6 +343,9 @@
             let known = |service: &str| directory.has_service(service);
             self.adaptive_limits.retain(known);
             self.service_rates.retain(known);
+            if let Some(routing) = self.directory.routing().filter(|routing| routing.version != version) {
+                self.fair_shares.set_routes(routing);
+            }
             self.dispatch_early_syns(now, effects);
             self.dispatch(now, effects);
         }
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -16,6 +16,7 @@
 use crate::direct::decision::Decision;
 use crate::direct::decision::Outcome;
 use crate::direct::directory::cookie;
+use crate::direct::fair_share::Standing;
 use crate::direct::flows::Flow;
 use crate::direct::flows::PendingHandshake;
 use crate::direct::flows::Stage;
@@ -109,10 +110,17 @@
         }
         let service = &pending.service;
         let Some(slot_release_rate) = self.slot_release_rate(now, service) else { return false };
+        let route = pending.segment.flow.service;
+        let service_use = self.service_use(now, service, Some(route));
+        let depth = service_use.as_ref().map_or(self.pending.depth(service), |it| it.depth_before(route));
         let (in_time, attempt) = (pending.in_time_until.saturating_sub(now), pending.deadline.saturating_sub(now));
         let budget = WaitBudget { in_time, attempt };
-        let arrivals = self.service_rates.arrivals(now, service);
-        admission::admit(budget, self.pending.depth(service), slot_release_rate, arrivals) == Admission::Reject
+        // New flows of other routes take at most what is not guaranteed to this one.
+        let arrivals = match service_use.filter(|it| it.is_guaranteed(route)) {
+            Some(it) => slot_release_rate * (1.0 - it.fraction(route)),
+            None => self.service_rates.arrivals(now, service),
+        };
+        admission::admit(budget, depth, slot_release_rate, arrivals) == Admission::Reject
     }
 
     /// Returns the rate per second at which slots of a service become free for this instance (Little's law): the
@@ -132,7 +140,7 @@
             return;
         }
         let capacity = self.pending_capacity(now, &pending.service);
-        if let Some(displaced) = self.pending.push(now, pending, capacity) {
+        if let Some(displaced) = self.push_pending(now, pending, capacity) {
             self.reject_pending(now, &displaced, Outcome::ResetFull, effects);
         }
         self.dispatch(now, effects);
@@ -182,6 +190,7 @@
             mechanisms: self.config.mechanisms,
             all_domains_reported: self.all_domains_reported,
             handshake_timeout: self.handshake_timeout.limit(),
+            standing: Standing::Unaffected,
             me: self.config.id,
             instances: self.instances.len(),
             group: &self.group,
@@ -201,7 +210,8 @@
         {
             return Choice::Full;
         }
-        self.placement().choose(now, &pending.service, hash, limit, &pending.tried)
+        let standing = self.standing(now, pending);
+        Placement { standing, ..self.placement() }.choose(now, &pending.service, hash, limit, &pending.tried)
     }
 
     /// Returns whether a service has a cold target.
@@ -243,6 +253,7 @@
         outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
+        self.guaranteed_count += u64::from(self.standing(now, &pending) == Standing::Guaranteed);
         let PendingFlow { segment, packet, received_at, tried, .. } = pending;
         let retransmissions = if let SegmentKind::Syn { retransmissions } = segment.kind { retransmissions } else { 0 };
         let objective = self.directory.route(segment.flow.service).map_or(Duration::MAX, |r| r.latency_objective);
@@ -252,6 +263,7 @@
         self.record_decision(Decision { target: Some(target), work: self.open_requests.count(target), ..decision });
         let flow = segment.flow.flow_hash();
         self.open_requests.start(now, flow, target);
+        self.record_route_open(target, segment.flow.service, flow);
         self.report_if_needed(now, flow, target);
         self.outliers.tried(now, target);
         if let Some(target) = self.directory.target(target) {
@@ -344,7 +356,7 @@
         }
         self.requeue_late(now, effects);
         // A service without a free slot for flows in time has none for late flows either.
-        let mut full: Vec<String> = Vec::new();
+        let mut full = self.dispatch_shared(now, effects);
         let mut index = 0;
         while let Some(pending) = self.pending.get(index) {
             if full.contains(&pending.service) {
--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -39,6 +39,8 @@
     AdaptiveLimit,
     /// Rejects flows at once that cannot be served at the rate at which slots become free.
     Admission,
+    /// Guarantees a share of a service's slots to each route while routes of different priority compete.
+    FairShare,
     /// Queues flows that can no longer be in time behind those that can.
     LateLast,
     /// Gives a target slightly more requests than it has slots, so that no slot idles.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -13,7 +13,7 @@
 //! - [`reachability`] checks targets with outstanding answers, so that flows to unreachable ones can be reset.
 //! - [`admission`] decides which flows may wait when no slot is free, and [`pending`] queues them.
 //!   [`concurrency_limit`] limits the load that an instance sends while it is alone, [`adaptive_limit`] the load while
-//!   targets are overloaded. [`flows`] records the flows that pass through this instance.
+//!   targets are overloaded, and [`fair_share`] divides slots among routes that compete. [`flows`] records the flows that pass through this instance.
 //! - [`readiness`] decides whether callers should be sent to this instance at all.
 //! - [`fleet`] tracks the other instances, [`watch`] selects the one that watches the store, and [`message`] defines
 //!   the messages between instances.
@@ -32,6 +32,7 @@
 pub mod dispatcher;
 pub mod domain_reach;
 pub mod failures;
+pub mod fair_share;
 pub mod fleet;
 pub mod flows;
 pub mod handshake_timeout;
--- a/crates/core/src/direct/open_requests.rs
+++ b/crates/core/src/direct/open_requests.rs
@@ -139,6 +139,12 @@
         self.flows.contains_key(&flow)
     }
 
+    /// Returns whether a flow's request is assumed to be open and its packets pass through this instance.
+    #[must_use]
+    pub fn is_local(&self, flow: FlowHash) -> bool {
+        self.flows.get(&flow).is_some_and(|open| open.is_local)
+    }
+
     /// Returns when a flow's open request started.
     #[must_use]
     pub fn opened_at(&self, flow: FlowHash) -> Option<Timestamp> {
--- a/crates/core/src/direct/pending.rs
+++ b/crates/core/src/direct/pending.rs
@@ -172,7 +172,20 @@
         true
     }
 
-    fn iter(&self) -> impl Iterator<Item = &PendingFlow> {
+    /// Returns the position of the first flow with the least key. Flows without a key are left out.
+    pub fn first_by_key<K: PartialOrd>(&self, key: impl Fn(&PendingFlow) -> Option<K>) -> Option<usize> {
+        let keys = self.iter().enumerate().filter_map(|(index, pending)| Some((index, key(pending)?)));
+        keys.reduce(|best, other| if other.1 < best.1 { other } else { best }).map(|(index, _)| index)
+    }
+
+    /// Returns the position of the last flow with the greatest key. Flows without a key are left out.
+    pub fn last_by_key<K: PartialOrd>(&self, key: impl Fn(&PendingFlow) -> Option<K>) -> Option<usize> {
+        let keys = self.iter().enumerate().filter_map(|(index, pending)| Some((index, key(pending)?)));
+        keys.reduce(|best, other| if other.1 < best.1 { best } else { other }).map(|(index, _)| index)
+    }
+
+    /// Returns the waiting flows, the most urgent first.
+    pub fn iter(&self) -> impl Iterator<Item = &PendingFlow> {
         self.in_time.iter().chain(&self.late)
     }
 
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -17,6 +17,7 @@
 use crate::direct::directory::Target;
 use crate::direct::domain_reach::DomainReach;
 use crate::direct::failures::Failures;
+use crate::direct::fair_share::Standing;
 use crate::direct::mechanisms::Mechanism;
 use crate::direct::mechanisms::Mechanisms;
 use crate::direct::open_requests::OpenRequests;
@@ -43,6 +44,9 @@
 /// all consider themselves responsible still stay within the minimum rate that a cold target can sustain.
 const COLD_FLOW_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Open requests beyond an instance's share of the slots, as a fraction of it, for routes that ask for more than their
+/// share. The end of a request is known 7 ms late, a sixth of a usual request.
+const EXCESS_RESERVE: f64 = 0.25;
 /// Divisor of a service's number of targets: if more than this fraction of them returns at the same time, they count
 /// as warm.
 const RETURNING_DIVISOR: usize = 3;
@@ -95,6 +99,8 @@
     pub all_domains_reported: bool,
     /// Handshake timeout, which determines how long a trial of an avoided target takes.
     pub handshake_timeout: Duration,
+    /// The standing of the flow's route among those that share the service.
+    pub standing: Standing,
     /// The ID of this instance.
     pub me: InstanceId,
     /// The number of serving instances.
@@ -174,7 +180,12 @@
         }
         let Some(size) = self.limits.size(service, domain) else { return false };
         let usage = self.usage(now, service, Some(domain));
-        f64::from(usage.open) >= size.max(usage.share)
+        let open = f64::from(usage.open);
+        match self.standing {
+            Standing::Guaranteed => !self.is_reported(domain),
+            Standing::Excess => !self.is_reported(domain) || open >= usage.share * (1.0 + EXCESS_RESERVE),
+            Standing::Unaffected => open >= size.max(usage.share),
+        }
     }
 
     /// Returns the open requests of this instance with a service's targets, and its share of their slots, for one
@@ -244,8 +255,14 @@
         self.directory.candidates(now, service).filter(move |target| self.is_cold(now, target)).map(|target| target.id)
     }
 
+    /// Returns whether the load of a failure domain's targets is reported to this instance.
+    fn is_reported(&self, domain: &str) -> bool {
+        self.all_domains_reported || domain == self.domain
+    }
+
     fn has_room(&self, target: &Target, limit: Limit) -> bool {
         let reserve = match limit {
+            Limit::Reserve if self.standing == Standing::Guaranteed => TARGET_QUEUE_CAPACITY,
             Limit::Slots => 0,
             Limit::Reserve => TARGET_RESERVE,
             Limit::Queue => TARGET_QUEUE_CAPACITY,
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -93,6 +93,10 @@
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
 }
 
+pub fn second_address() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443)
+}
+
 pub fn target_spec(index: usize, cold_for: Duration) -> TargetSpec {
     let [high, low] = u16::try_from(index).unwrap().to_be_bytes();
     let address = SocketAddrV4::new(Ipv4Addr::new(10, 9, high, low), 8_000);
@@ -199,6 +203,8 @@
     attempt: u32,
     /// Index of the caller among those with persistent flows.
     persistent_caller: Option<usize>,
+    /// Whether it is a request of the second route.
+    pub is_second: bool,
     /// Bytes that the caller had received on the flow before this request.
     received_bytes: u32,
     pub reset_count: u32,
@@ -241,6 +247,15 @@
     received_bytes: u32,
 }
 
+/// A second route to the same service. Its requests are unsafe and use one flow each.
+#[derive(Clone, Copy, Debug)]
+pub struct SecondRoute {
+    pub per_second: f64,
+    pub service_time: Duration,
+    pub objective: Duration,
+    pub priority: u8,
+}
+
 /// The simulated system.
 pub struct Sim {
     pub now: Timestamp,
@@ -258,6 +273,8 @@
     pub per_second: f64,
     /// Mean service time of a request at a target that is not slow.
     pub service_time: Duration,
+    /// Set by `add_second_route`; `per_second` applies to the first route only.
+    pub second_route: Option<SecondRoute>,
     /// Snapshot that an instance reads from the store when it starts.
     pub store_content: Delta,
     seed_addresses: Vec<SocketAddr>,
@@ -313,6 +330,7 @@
             next_port: 0,
             per_second,
             service_time: ms(33),
+            second_route: None,
             store_content: store_snapshot(targets),
             seed_addresses: (0..3.min(instances)).map(instance_address).collect(),
             second_target_syns: 0,
@@ -386,6 +404,20 @@
         }
     }
 
+    /// Adds a second route to the service, and sets the priority of the first.
+    pub fn add_second_route(&mut self, second: SecondRoute, first_priority: u8) {
+        self.second_route = Some(second);
+        for versioned in &mut self.store_content.entries {
+            if let StoreEntry::Routing(routing) = &mut versioned.entry {
+                let mut route = routing.routes[0].clone();
+                routing.routes[0].priority = first_priority;
+                (route.address, route.priority) = (second_address(), second.priority);
+                (route.latency_objective, route.kind) = (second.objective, RequestKind::Unsafe);
+                routing.routes.push(route);
+            }
+        }
+    }
+
     /// Partitions a failure domain from the others; its callers still reach all instances.
     pub fn partition_domain(&mut self, domain: usize) {
         self.cut_domain = Some(domain);
@@ -686,9 +718,13 @@
 
     fn send_request(&mut self) {
         let request = self.requests.len();
-        let persistent_caller = (!self.idle_flows.is_empty()).then(|| self.rng.random_range(0..self.idle_flows.len()));
+        let second_rate = self.second_route.map_or(0.0, |second| second.per_second);
+        let per_second = self.per_second + second_rate;
+        let is_second = second_rate > 0.0 && self.rng.random_bool(second_rate / per_second);
+        let persistent_caller =
+            (!is_second && !self.idle_flows.is_empty()).then(|| self.rng.random_range(0..self.idle_flows.len()));
         let idle = persistent_caller.and_then(|caller| self.idle_flows[caller].take());
-        let flow = idle.map_or_else(|| self.new_flow(), |idle| idle.flow);
+        let flow = idle.map_or_else(|| self.new_flow(is_second), |idle| idle.flow);
         self.requests.push(Request {
             sent_at: self.now,
             answered_at: None,
@@ -698,6 +734,7 @@
             established: None,
             attempt: 0,
             persistent_caller,
+            is_second,
             received_bytes: idle.map_or(INITIAL_RECEIVED_BYTES, |idle| idle.received_bytes),
             reset_count: 0,
             failed: false,
@@ -710,15 +747,15 @@
             self.start_attempt(request, flow);
         }
         self.schedule_after(self.timeout, Event::Deadline(request));
-        let gap = -self.rng.random_range(f64::EPSILON..1.0).ln() / self.per_second;
+        let gap = -self.rng.random_range(f64::EPSILON..1.0).ln() / per_second;
         self.schedule_after(Duration::from_secs_f64(gap), Event::SendRequest);
     }
 
-    fn new_flow(&mut self) -> FlowId {
+    fn new_flow(&mut self, is_second: bool) -> FlowId {
         self.next_port += 1;
         let [_, b, c, d] = self.next_port.to_be_bytes();
         let caller = SocketAddrV4::new(Ipv4Addr::new(100, 64, b, c), 1_000 + u16::from(d));
-        FlowId { caller, service: service_address() }
+        FlowId { caller, service: if is_second { second_address() } else { service_address() } }
     }
 
     fn start_attempt(&mut self, request: usize, flow: FlowId) {
@@ -790,7 +827,7 @@
 
     fn retry(&mut self, request: usize) {
         if self.requests[request].attempt_count <= MAX_RETRIES {
-            let flow = self.new_flow();
+            let flow = self.new_flow(self.requests[request].is_second);
             self.start_attempt(request, flow);
         }
     }
@@ -878,8 +915,10 @@
         }
         let Some(mut queued) = target.queue.pop_front() else { return };
         target.running += 1;
-        let mut duration = self.service_time.mul_f64(spread * target.slowdown);
         let state = &mut self.requests[queued.request];
+        let second = self.second_route.filter(|_| state.is_second);
+        let service_time = second.map_or(self.service_time, |second| second.service_time);
+        let mut duration = service_time.mul_f64(spread * target.slowdown);
         state.run_count += 1;
         if target.hang_share > 0.0 && self.rng.random_bool(target.hang_share) {
             state.hung = true;
@@ -956,8 +995,18 @@
     /// Returns the shares of the requests sent in a span that were answered within the latency objective and that were
     /// answered at all.
     pub fn answered_shares(&self, from: Timestamp, to: Timestamp) -> (f64, f64) {
-        let sent: Vec<&Request> = self.requests.iter().filter(|r| r.sent_at >= from && r.sent_at < to).collect();
-        let in_time = sent.iter().filter(|r| r.answered_at.is_some_and(|at| at <= r.sent_at + self.objective)).count();
+        self.answered_shares_of(from, to, |_| true)
+    }
+
+    /// Returns the same shares of the requests for which `counts` returns true.
+    pub fn answered_shares_of(&self, from: Timestamp, to: Timestamp, counts: impl Fn(&Request) -> bool) -> (f64, f64) {
+        let sent = self.requests.iter().filter(|r| r.sent_at >= from && r.sent_at < to && counts(r));
+        let sent: Vec<&Request> = sent.collect();
+        let objective = |r: &Request| {
+            let second = self.second_route.filter(|_| r.is_second);
+            second.map_or(self.objective, |second| second.objective)
+        };
+        let in_time = sent.iter().filter(|r| r.answered_at.is_some_and(|at| at <= r.sent_at + objective(r))).count();
         let at_all = sent.iter().filter(|r| r.answered_at.is_some()).count();
         let share =
             |count: usize| f64::from(u32::try_from(count).unwrap()) / f64::from(u32::try_from(sent.len()).unwrap());
@@ -978,6 +1027,11 @@
         self.instances.iter().flatten().map(|instance| instance.dispatcher.failing_count(self.now)).sum()
     }
 
+    /// Returns the number of flows placed under their route's guarantee, summed over all instances.
+    pub fn guaranteed_total(&self) -> u64 {
+        self.instances.iter().flatten().map(|instance| instance.dispatcher.guaranteed_count()).sum()
+    }
+
     /// Returns the number of requests that targets have accepted and never answer.
     pub fn hung_requests(&self) -> usize {
         self.requests.iter().filter(|request| request.hung).count()
@@ -1007,7 +1061,8 @@
     pub fn assert_invariants(&self) {
         let overrun = self.requests.iter().filter(|request| request.run_count > request.attempt_count).count();
         assert_eq!(overrun, 0, "requests that ran more often than they were sent");
-        let unsafe_repeated = self.requests.iter().filter(|request| request.run_count > 1).count();
-        assert!(self.safe_requests || unsafe_repeated == 0, "requests that ran more than once");
+        let is_unsafe = |request: &&Request| request.is_second || !self.safe_requests;
+        let unsafe_repeated = self.requests.iter().filter(is_unsafe).filter(|request| request.run_count > 1).count();
+        assert!(unsafe_repeated == 0, "requests that ran more than once");
     }
 }
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod convergence;
 mod directory;
 mod domain_loss;
+mod fair_share;
 mod fleet;
 mod hanging;
 mod load;
--- a/crates/direct/src/dump.rs
+++ b/crates/direct/src/dump.rs
@@ -1,5 +1,7 @@
 //! Dump of the state of a process as JSON.
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
 
 use crate::callers::SocketCounts;
@@ -8,6 +10,7 @@
 use hawthornshift_core::direct::decision::OutcomeCounts;
 use hawthornshift_core::direct::directory::Target;
 use hawthornshift_core::direct::dispatcher::Dispatcher;
+use hawthornshift_core::direct::fair_share::ServiceUse;
 use hawthornshift_core::direct::fleet::Fleet;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
 use hawthornshift_core::message::MemberUpdate;
@@ -63,6 +66,8 @@
     news_age_ms: u128,
     flows: usize,
     waiting: usize,
+    /// Services whose routes compete, while flows wait or a limit is in force.
+    shares: BTreeMap<&'a str, ServiceUse>,
     targets: Vec<TargetState<'a>>,
     members: Vec<&'a MemberUpdate>,
     outcomes: &'a OutcomeCounts,
@@ -112,6 +117,7 @@
         news_age_ms: fleet.watcher_role().age(now).as_millis(),
         flows,
         waiting,
+        shares: dispatcher.shared_services(now).into_iter().collect(),
         targets: targets.collect(),
         members: fleet.members().collect(),
         outcomes: dispatcher.counts(),
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -430,6 +430,12 @@
             info!(self.log, "target reachability"; "target" => format!("{:x}", change.target),
                 "is" => reachability, "failed_checks" => change.failed, "revision" => state.revision);
         }
+        for change in self.dispatcher.take_contention_changes() {
+            info!(self.log, "route contention"; "service" => change.service,
+                "is" => if change.contended { "started" } else { "ended" },
+                "use" => change.service_use.map(|it| it.to_string()).unwrap_or_default(),
+                "revision" => state.revision, "age_ms" => u64::try_from(state.age.as_millis()).unwrap_or(u64::MAX));
+        }
         for decision in self.dispatcher.take_decisions() {
             self.decision_log.write(now, &decision, state);
         }
