--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -6,6 +6,7 @@
 mod established;
 mod reporting;
 mod resetting;
+mod sharing;
 mod syn;
 mod timers;
 
@@ -27,6 +28,7 @@
 use crate::direct::directory_lag::PlacementGate;
 use crate::direct::domain_reach::DomainReach;
 use crate::direct::failures::Failures;
+use crate::direct::fair_share::FairShares;
 use crate::direct::flows::FlowRecords;
 use crate::direct::handshake_timeout::HandshakeTimeout;
 use crate::direct::link_budget::LinkBudget;
@@ -152,6 +154,8 @@
     service_rates: ServiceRates,
     link: LinkBudget,
     placement_gate: PlacementGate,
+    fair_shares: FairShares,
+    guaranteed_count: u64,
     /// End of the period in which the state may be stale because this process was paused.
     stale_until: Timestamp,
     /// SYNs buffered before the directory was synced, or while it may be stale.
@@ -215,6 +219,8 @@
             adaptive_limits: AdaptiveLimits::default(),
             service_rates: ServiceRates::default(),
             placement_gate: PlacementGate::default(),
+            fair_shares: FairShares::default(),
+            guaranteed_count: 0,
             stale_until: Timestamp::ZERO,
             next_review: Timestamp::ZERO,
             early_syns: Vec::new(),
@@ -349,6 +355,7 @@
 
     /// Applies a delta of the store. Returns whether it changed the directory.
     pub fn apply_delta(&mut self, now: Timestamp, delta: &Delta, effects: &mut Vec<Effect>) -> bool {
+        let version = self.directory.version();
         let changed = self.directory.apply(now, delta);
         if changed {
             let directory = &self.directory;
@@ -360,6 +367,9 @@
             let known = |service: &str| directory.has_service(service);
             self.adaptive_limits.retain(known);
             self.service_rates.retain(known);
+            if let Some(routing) = self.directory.routing().filter(|routing| routing.version != version) {
+                self.fair_shares.set_routes(routing);
+            }
             self.dispatch_early_syns(now, effects);
             self.dispatch(now, effects);
         }
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod directory_lag;
 mod domain_loss;
+mod fair_share;
 mod fleet;
 mod hanging;
 mod link_budget;
--- a/crates/direct/src/dump.rs
+++ b/crates/direct/src/dump.rs
@@ -1,5 +1,7 @@
 //! Dump of the state of a process as JSON.
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
 
 use crate::callers::SocketCounts;
@@ -8,6 +10,7 @@
 use hawthornshift_core::direct::decision::OutcomeCounts;
 use hawthornshift_core::direct::directory::Target;
 use hawthornshift_core::direct::dispatcher::Dispatcher;
+use hawthornshift_core::direct::fair_share::ServiceUse;
 use hawthornshift_core::direct::fleet::Fleet;
 use hawthornshift_core::direct::link_budget::LinkStatus;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
@@ -66,6 +69,8 @@
     flows: usize,
     waiting: usize,
     link: Option<LinkStatus>,
+    /// Services whose routes compete, while flows wait or a limit is in force.
+    shares: BTreeMap<&'a str, ServiceUse>,
     targets: Vec<TargetState<'a>>,
     members: Vec<&'a MemberUpdate>,
     outcomes: &'a OutcomeCounts,
@@ -117,6 +122,7 @@
         flows,
         waiting,
         link: dispatcher.link_status(now),
+        shares: dispatcher.shared_services(now).into_iter().collect(),
         targets: targets.collect(),
         members: fleet.members().collect(),
         outcomes: dispatcher.counts(),
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -59,6 +59,8 @@
     gauge!("hawthornshift_link_delay_ms").set(link.delay_ms);
     gauge!("hawthornshift_link_heavy_flows").set(gauge_value(link.heavy_flows));
     counter!("hawthornshift_link_refused_total").absolute(link.refused);
+    gauge!("hawthornshift_services_contended").set(gauge_value(sources.dispatcher.contended_count()));
+    counter!("hawthornshift_guaranteed_placements_total").absolute(sources.dispatcher.guaranteed_count());
     let accepting = directory.targets().filter(|target| target.takes_flows(now)).count();
     gauge!("hawthornshift_targets_listed").set(gauge_value(accepting));
 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -122,14 +122,7 @@
             control: platform.peer_address,
             forward: platform.peer_address,
         };
-        let mut dispatcher = Dispatcher::new(DispatcherConfig {
-            id,
-            domain: platform.failure_domain.clone(),
-            evacuation_grace: platform.evacuation_bound.mul_f64(EVACUATION_GRACE_FRACTION),
-            link_mbps: platform.link_mbps,
-            mechanisms: config.mechanisms,
-        });
-        dispatcher.set_drain_bound(platform.drain_bound);
+        let dispatcher = new_dispatcher(&config, id);
         let (tx, rx) = mpsc::channel(command::COMMAND_QUEUE_LEN);
         let (reader_mode, reader_mode_rx) = watch::channel(StoreReaderMode::Idle);
         let ready = Arc::new(AtomicBool::new(false));
@@ -440,12 +433,32 @@
                 "delay_ms" => link.delay_ms, "delay_age_ms" => link.delay_age_ms, "heavy_flows" => link.heavy_flows,
                 "refused" => link.refused);
         }
+        for change in self.dispatcher.take_contention_changes() {
+            info!(self.log, "route contention"; "service" => change.service,
+                "is" => if change.contended { "started" } else { "ended" },
+                "use" => change.service_use.map(|it| it.to_string()).unwrap_or_default(),
+                "revision" => state.revision, "age_ms" => u64::try_from(state.age.as_millis()).unwrap_or(u64::MAX));
+        }
         for decision in self.dispatcher.take_decisions() {
             self.decision_log.write(now, &decision, state);
         }
     }
 }
 
+/// Returns the dispatcher of an instance with the bounds of its settings.
+fn new_dispatcher(config: &Config, id: InstanceId) -> Dispatcher {
+    let platform = &config.platform;
+    let mut dispatcher = Dispatcher::new(DispatcherConfig {
+        id,
+        domain: platform.failure_domain.clone(),
+        evacuation_grace: platform.evacuation_bound.mul_f64(EVACUATION_GRACE_FRACTION),
+        link_mbps: platform.link_mbps,
+        mechanisms: config.mechanisms,
+    });
+    dispatcher.set_drain_bound(platform.drain_bound);
+    dispatcher
+}
+
 /// Returns the wall-clock time since the Unix epoch. A clock before the epoch returns zero, which counts as one pause.
 fn time_of_day() -> Duration {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
