Don't take lost packets or a start on a full link for the link's own state

Cause: one handshake after a lost packet, or after a dead target, looked like a delay of the own link, during which no SYN goes to a second target. An instance that started on a full link took the delayed handshakes for usual ones and raised its estimate.

Change: a delay is that of at least two handshakes; a handshake completed by a second target counts from the SYN to that target. The usual handshake is taken from handshakes of at most 20 ms, or while less than 30% of the link are used. At most one log line a second.

--- a/crates/core/src/direct/dispatcher/established.rs
+++ b/crates/core/src/direct/dispatcher/established.rs
@@ -168,10 +168,9 @@
             self.handshake_timeout.sample(took);
             record(&mut self.handshake_latencies, took);
         }
-        // While the link delays every handshake, each SYN has been sent to several targets.
-        if let Some(first_seen) = self.flows.get(&flow).map(|flow| flow.first_seen) {
-            self.link.handshake(now.saturating_sub(if first { sent } else { first_seen }));
-        }
+        // A SYN that was sent to several targets was answered by the first one if another than the last answers.
+        let since = if moved { self.flows.get(&flow).map_or(sent, |flow| flow.first_seen) } else { sent };
+        self.link.handshake(now, now.saturating_sub(since));
         if moved {
             self.open_requests.start(now, flow.flow_hash(), target);
             self.report_open(now, flow.flow_hash(), target);
--- a/crates/core/src/direct/link_budget.rs
+++ b/crates/core/src/direct/link_budget.rs
@@ -60,13 +60,23 @@
 const CONGESTED_FRACTION: f64 = 0.9;
 /// Delay of the fastest handshake from which the link counts as congested: the minimum handshake timeout.
 const CONGESTED_DELAY: Duration = Duration::from_millis(40);
+/// Duration up to which a handshake counts as not delayed by the link: callers are 3 ms away, and targets up to 0.9 ms. A
+/// longer one counts only while less than [`CALM_FRACTION`] of the capacity is used, since an instance may start on a
+/// link that is full.
+const SHORT_HANDSHAKE: Duration = Duration::from_millis(20);
+/// Fraction of the capacity up to which a link causes no delay.
+const CALM_FRACTION: f64 = 0.3;
 /// Delay of the fastest handshake up to which the link counts as free of queueing.
 const NO_DELAY: Duration = Duration::from_millis(10);
+/// Number of handshakes that show a delay: a single one may be late since a packet was lost.
+const MIN_HANDSHAKES: u32 = 2;
 /// Age up to which a delay counts while no handshake is completed, which a long delay itself prevents.
 const MAX_DELAY_AGE: Duration = Duration::from_secs(1);
 /// Time for which the link stays congested after the last sign of it, in which late packets still arrive.
 const CONGESTED_HOLD: Duration = Duration::from_millis(300);
-/// Time since the last refusal for which the link counts as limiting, which bounds the number of log lines.
+/// Time between two recorded changes of state, which bounds the number of log lines.
+const MIN_CHANGE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time since the last refusal for which the link counts as limiting.
 const LIMITING_HOLD: Duration = Duration::from_secs(2);
 /// Fraction of the capacity that passes without delay from which the capacity is raised.
 const RAISE_FRACTION: f64 = 0.7;
@@ -144,6 +154,14 @@
     last_packet: Timestamp,
 }
 
+/// Handshakes of one interval, or of several until there are enough.
+#[derive(Clone, Copy, Debug)]
+struct Handshakes {
+    since: Timestamp,
+    count: u32,
+    fastest: Duration,
+}
+
 /// Bytes that open requests of heavy routes are expected to send.
 #[derive(Clone, Copy, Debug, Default)]
 struct Outstanding {
@@ -168,10 +186,12 @@
     heavy: FixedHashSet<FlowHash>,
     interval_start: Timestamp,
     interval_bytes: f64,
-    interval_min: Option<Duration>,
+    /// Handshakes that have not been evaluated yet.
+    handshakes: Option<Handshakes>,
     /// Bytes per second in the last completed interval.
     used: f64,
-    /// Shortest handshake since the start. Handshakes through other failure domains take at most a few ms longer.
+    /// Shortest handshake since the start, if it was not delayed by the link. Handshakes through other failure domains
+    /// take at most a few ms longer.
     baseline: Option<Duration>,
     /// Delay of the fastest handshake, and when it was measured.
     delay: (Duration, Timestamp),
@@ -179,6 +199,8 @@
     limiting_until: Timestamp,
     refused: u64,
     last_state: LinkState,
+    /// Earliest time at which a change of state is recorded.
+    next_change: Timestamp,
     changes: Vec<LinkStatus>,
 }
 
@@ -197,7 +219,7 @@
             heavy: FixedHashSet::default(),
             interval_start: Timestamp::ZERO,
             interval_bytes: 0.0,
-            interval_min: None,
+            handshakes: None,
             used: 0.0,
             baseline: None,
             delay: (Duration::ZERO, Timestamp::ZERO),
@@ -205,6 +227,7 @@
             limiting_until: Timestamp::ZERO,
             refused: 0,
             last_state: LinkState::Free,
+            next_change: Timestamp::ZERO,
             changes: Vec::new(),
         }
     }
@@ -281,10 +304,12 @@
     }
 
     /// Records the duration of a handshake.
-    pub fn handshake(&mut self, took: Duration) {
+    pub fn handshake(&mut self, now: Timestamp, took: Duration) {
         if self.enabled {
-            self.interval_min = Some(self.interval_min.map_or(took, |min| min.min(took)));
-            self.baseline = Some(self.baseline.map_or(took, |baseline| baseline.min(took)));
+            let recent = self.handshakes.filter(|all| now.saturating_sub(all.since) < MAX_DELAY_AGE);
+            let Handshakes { since, count, fastest } =
+                recent.unwrap_or(Handshakes { since: now, count: 0, fastest: took });
+            self.handshakes = Some(Handshakes { since, count: count + 1, fastest: fastest.min(took) });
         }
     }
 
@@ -377,8 +402,9 @@
 
     fn record_state(&mut self, now: Timestamp) {
         let state = self.state(now);
-        if state != self.last_state {
+        if state != self.last_state && now >= self.next_change {
             self.last_state = state;
+            self.next_change = now + MIN_CHANGE_INTERVAL;
             self.changes.extend(self.status(now));
         }
     }
@@ -392,8 +418,8 @@
                 continue;
             }
             let expected = (bytes.expected() - upload.received).max(0.0);
-            let is_longer = expected < WINDOW_BYTES && upload.received > bytes.expected();
-            let remaining = if is_longer && silence < LONG_REQUEST_TIMEOUT { WINDOW_BYTES } else { expected };
+            let is_longer = upload.received > bytes.expected() && silence < LONG_REQUEST_TIMEOUT;
+            let remaining = if is_longer { WINDOW_BYTES } else { expected };
             all.flows += 1;
             all.in_flight += remaining.min(WINDOW_BYTES);
             all.remaining += remaining;
@@ -414,10 +440,15 @@
             return;
         }
         self.used = self.interval_bytes / elapsed.as_secs_f64();
-        let delay = self.interval_min.zip(self.baseline).map(|(min, baseline)| min.saturating_sub(baseline));
+        let fastest = self.handshakes.take_if(|all| all.count >= MIN_HANDSHAKES).map(|all| all.fastest);
+        if let Some(min) = fastest
+            && (min <= SHORT_HANDSHAKE || self.used < self.capacity * CALM_FRACTION)
+        {
+            self.baseline = Some(self.baseline.map_or(min, |baseline| baseline.min(min)));
+        }
+        let delay = fastest.zip(self.baseline).map(|(min, baseline)| min.saturating_sub(baseline));
         self.interval_start = now;
         self.interval_bytes = 0.0;
-        self.interval_min = None;
         if let Some(delay) = delay {
             self.delay = (delay, now);
             self.correct_capacity(delay);
--- a/crates/core/tests/direct/link_budget.rs
+++ b/crates/core/tests/direct/link_budget.rs
@@ -183,6 +183,40 @@
     }
 }
 
+/// Guards against an instance that starts on a full link, takes the delayed handshakes for usual ones and admits more.
+#[test]
+fn an_instance_that_starts_on_a_full_link_sees_no_free_capacity() {
+    let mut budget = LinkBudget::new(10.0, true);
+    for now in 0..2_000 {
+        budget.sent(ms(now), 1_250);
+        budget.handshake(ms(now), ms(150));
+    }
+    let status = budget.status(ms(2_000)).unwrap();
+    assert!(budget.is_congested(ms(2_000)) && status.capacity_mbps <= 10.0, "{status:?}");
+    // Once one handshake has been quick, the others are known to be late.
+    (0..2).for_each(|_| budget.handshake(ms(2_000), ms(8)));
+    (2_000..2_200).for_each(|now| budget.sent(ms(now), 1_250));
+    (2_200..2_400).for_each(|now| {
+        budget.sent(ms(now), 625);
+        budget.handshake(ms(now), ms(150));
+    });
+    let status = budget.status(ms(2_400)).unwrap();
+    assert!(budget.is_congested(ms(2_400)) && status.capacity_mbps < 10.0, "{status:?}");
+}
+
+/// Guards against a lost packet that looks like a delay of the link, which would suppress second tries.
+#[test]
+fn a_single_late_handshake_shows_no_delay() {
+    for (late, expected) in [(1, false), (2, true)] {
+        let mut budget = LinkBudget::new(10.0, true);
+        (0..2).for_each(|_| budget.handshake(ms(0), ms(8)));
+        (0..150).for_each(|now| budget.sent(ms(now), 300));
+        (0..late).for_each(|_| budget.handshake(ms(150), ms(208)));
+        (150..300).for_each(|now| budget.sent(ms(now), 300));
+        assert_eq!(budget.is_congested(ms(300)), expected, "{late} late");
+    }
+}
+
 /// Guards against SYNs to a second target, suspicions and failed checks that the delay of the instance's own link causes.
 #[test]
 fn targets_are_not_suspected_while_the_own_link_is_full() {
