--- a/crates/core/src/direct/adaptive_limit.rs
+++ b/crates/core/src/direct/adaptive_limit.rs
@@ -146,6 +146,11 @@
         self.services.get(service).is_some_and(|domains| domains.values().any(|limit| limit.size.is_some()))
     }
 
+    /// Returns the services of which a limit is in force.
+    pub fn overloaded(&self) -> impl Iterator<Item = &str> {
+        self.services.keys().map(String::as_str).filter(|service| self.is_limited(service))
+    }
+
     /// Returns the number of limits in force.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/core/src/direct/dispatcher/established.rs
+++ b/crates/core/src/direct/dispatcher/established.rs
@@ -246,6 +246,9 @@
         limits.answered(now, &service, &domain, took, || self.placement().usage(now, &service, Some(&domain)));
         self.adaptive_limits = limits;
         self.service_rates.answered(&service, took);
+        if !self.slot_quotas.is_in_force(&service) && self.adaptive_limits.is_limited(&service) {
+            self.review_quota(now, &service);
+        }
     }
 
     /// Classifies an answer whose start and end are acknowledged by the same packet.
--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -4,6 +4,7 @@
 //! of the function to execute. [`Dispatcher::tick`] runs the timers. The module opens no socket and reads no clock.
 
 mod established;
+mod quotas;
 mod reporting;
 mod resetting;
 mod sharing;
@@ -51,6 +52,7 @@
 use crate::direct::segment::Cookie;
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
+use crate::direct::slot_quota::SlotQuotas;
 use crate::direct::store_entries::Delta;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::Revision;
@@ -156,6 +158,7 @@
     placement_gate: PlacementGate,
     fair_shares: FairShares,
     guaranteed_count: u64,
+    slot_quotas: SlotQuotas,
     /// End of the period in which the state may be stale because this process was paused.
     stale_until: Timestamp,
     /// SYNs buffered before the directory was synced, or while it may be stale.
@@ -221,6 +224,7 @@
             placement_gate: PlacementGate::default(),
             fair_shares: FairShares::default(),
             guaranteed_count: 0,
+            slot_quotas: SlotQuotas::default(),
             stale_until: Timestamp::ZERO,
             next_review: Timestamp::ZERO,
             early_syns: Vec::new(),
@@ -370,6 +374,7 @@
             if let Some(routing) = self.directory.routing().filter(|routing| routing.version != version) {
                 self.fair_shares.set_routes(routing);
             }
+            self.slot_quotas.retain(known);
             self.dispatch_early_syns(now, effects);
             self.dispatch(now, effects);
         }
--- a/crates/core/src/direct/dispatcher/timers.rs
+++ b/crates/core/src/direct/dispatcher/timers.rs
@@ -54,6 +54,7 @@
             }
             self.review_open_requests(now);
             self.review_shares(now);
+            self.review_quotas(now);
             self.check_targets(now, effects);
         }
         self.open_requests.expire(now);
--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -69,6 +69,9 @@
     /// Refuses flows of many bytes that this instance's own narrow link could not carry in time, and does not take the
     /// link's delay for a target that does not answer.
     LinkBudget,
+    /// Divides the slots of an overloaded service among the instances. Without it, or without the adaptive limit, each
+    /// instance limits its open requests by itself.
+    SlotQuota,
 }
 
 /// Set of mechanisms that are on.
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -18,5 +18,6 @@
 mod readiness;
 mod routes;
 mod rules;
+mod slot_quota;
 mod store_updates;
 mod watching;
--- a/crates/direct/src/dump.rs
+++ b/crates/direct/src/dump.rs
@@ -71,6 +71,8 @@
     link: Option<LinkStatus>,
     /// Services whose routes compete, while flows wait or a limit is in force.
     shares: BTreeMap<&'a str, ServiceUse>,
+    /// Requests that this instance may have open, by overloaded service and failure domain.
+    slot_quotas: BTreeMap<&'a str, &'a BTreeMap<String, u32>>,
     targets: Vec<TargetState<'a>>,
     members: Vec<&'a MemberUpdate>,
     outcomes: &'a OutcomeCounts,
@@ -123,6 +125,7 @@
         waiting,
         link: dispatcher.link_status(now),
         shares: dispatcher.shared_services(now).into_iter().collect(),
+        slot_quotas: dispatcher.slot_quotas().in_force().collect(),
         targets: targets.collect(),
         members: fleet.members().collect(),
         outcomes: dispatcher.counts(),
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -439,6 +439,10 @@
                 "use" => change.service_use.map(|it| it.to_string()).unwrap_or_default(),
                 "revision" => state.revision, "age_ms" => u64::try_from(state.age.as_millis()).unwrap_or(u64::MAX));
         }
+        for change in self.dispatcher.take_quota_changes() {
+            info!(self.log, "slot quotas"; "service" => change.service, "in_force" => change.in_force,
+                "quota" => change.quota, "slots" => change.slots, "idle_ms" => millis(change.idle));
+        }
         for decision in self.dispatcher.take_decisions() {
             self.decision_log.write(now, &decision, state);
         }
