Limit resets to the shortest check interval; test the other age limits

Cause: with the doubled interval, a finding could reset flows of live targets for up to 2.4 s after a partition.

Change: a failed check justifies resets for 0.3 s. After that the packet is forwarded and the target checked at once. Placement still excludes the target for the whole interval, so that every target whose flows are reset gets no new ones. An answer that ends a finding is reported to the group like a check. The test of the traced sequence now asserts this from 0.35 s after the partition on, instead of from 3 s on.

--- a/crates/core/src/direct/dispatcher/reporting.rs
+++ b/crates/core/src/direct/dispatcher/reporting.rs
@@ -136,10 +136,10 @@
         }
     }
 
-    /// Records that a target answered, and reports it if peers suspect the target.
+    /// Records that a target answered, and reports it if peers suspect the target or it was out of reach here.
     pub(super) fn record_liveness(&mut self, now: Timestamp, target: TargetId) {
-        self.checks.answered(now, target);
-        if self.outliers.record_response(now, target) {
+        let was_out_of_reach = self.checks.answered(now, target) && self.is_enabled(Mechanism::FindingAge);
+        if self.outliers.record_response(now, target) || was_out_of_reach {
             self.report.alive.push(cookie(target));
         }
     }
--- a/crates/core/src/direct/dispatcher/resetting.rs
+++ b/crates/core/src/direct/dispatcher/resetting.rs
@@ -127,7 +127,7 @@
     /// caller's request is already late.
     pub(super) fn expect_answer(&mut self, now: Timestamp, target: TargetId, effects: &mut Vec<Effect>) {
         self.checks.sent(now, target);
-        if self.outliers.is_suspected(target) || self.checks.needs_recheck(now, target) {
+        if self.outliers.is_suspected(target) || self.checks.needs_check(now, target) {
             self.checks.suspect(now, target);
             self.check_targets(now, effects);
         }
@@ -193,10 +193,10 @@
     /// Returns whether a flow may be reset: its target is gone, or is out of reach and the route's requests may be
     /// repeated.
     fn may_reset(&self, now: Timestamp, flow: FlowId, target: TargetId) -> bool {
-        match self.checks.reachability(now, target) {
-            Reachability::Reachable => false,
-            Reachability::Gone => true,
-            Reachability::OutOfReach => {
+        match self.checks.reset_reason(now, target) {
+            None | Some(Reachability::Reachable) => false,
+            Some(Reachability::Gone) => true,
+            Some(Reachability::OutOfReach) => {
                 self.directory.route(flow.service).is_some_and(|route| route.kind != RequestKind::Unsafe)
             }
         }
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -139,7 +139,7 @@
                 {
                     &mut best_suspected
                 }
-                Availability::Available if self.checks.needs_recheck(now, target.id) => &mut best_suspected,
+                Availability::Available if self.checks.is_lapsed(now, target.id) => &mut best_suspected,
                 Availability::Available
                     if suspicions
                         .get(domain, || self.suspicion(now, domain, tried))
--- a/crates/core/src/direct/reachability.rs
+++ b/crates/core/src/direct/reachability.rs
@@ -13,7 +13,8 @@
 //! that knows no other instance requires two failed checks of its own.
 //!
 //! Targets are checked only on suspicion. A target that is out of reach is checked again at a doubled interval, whether
-//! answers are awaited or not, and the finding is valid only until the next of these checks is due. Load addressed: a
+//! answers are awaited or not. The finding keeps new flows away until the next of these checks is due, and justifies
+//! resets for the shortest interval only. Load addressed: a
 //! failure domain is cut off for seconds, and instances with few requests for each of its targets keep the findings
 //! afterwards. A finding without an age would reset flows of targets that can be reached again.
 
@@ -43,8 +44,11 @@
 const RECHECK_ALIVE: Duration = Duration::from_secs(3);
 /// Interval between the first two checks of a target that is out of reach. It doubles with each further check.
 const RECHECK_FIRST: Duration = Duration::from_millis(300);
+/// Age of the newest failed check up to which it justifies resets. It is the shortest interval between two checks: after
+/// a partition, a finding as old as the longest interval would break flows of targets that can be reached again.
+const RESET_MAX_AGE: Duration = RECHECK_FIRST;
 /// Longest interval between two checks of a target that remains out of reach. It is also the longest time for which a
-/// finding justifies resets without a newer failed check.
+/// finding excludes the target from placement without a newer failed check.
 const RECHECK_MAX: Duration = Duration::from_millis(2_400);
 /// Time since the last response of a target up to which it can serve as the reference of a check.
 const REFERENCE_MAX_AGE: Duration = Duration::from_secs(1);
@@ -127,6 +131,10 @@
     fn is_valid(&self, now: Timestamp) -> bool {
         now.saturating_sub(self.renewed_at) < self.interval
     }
+
+    fn justifies_reset(&self, now: Timestamp) -> bool {
+        now.saturating_sub(self.renewed_at) < RESET_MAX_AGE
+    }
 }
 
 /// State of one target.
@@ -317,7 +325,7 @@
             && let Some(since) = &mut record.unanswered_since
         {
             *since = (*since).min(now.saturating_sub(OVERDUE_MAX));
-            if record.reachability(now) == Reachability::Reachable {
+            if !record.finding.is_some_and(|finding| finding.justifies_reset(now)) {
                 record.next_check = record.next_check.min(now.max(record.last_alive + RECHECK_FIRST));
             }
         }
@@ -429,8 +437,8 @@
         new
     }
 
-    /// Returns whether a target can be reached. Placement and resets use this view, so that no flow is placed on a
-    /// target whose flows are reset.
+    /// Returns whether a target can be reached, which decides whether it may get new flows. Resets require
+    /// [`Self::reset_reason`] in addition, so that no flow is placed on a target whose flows are reset.
     #[must_use]
     pub fn reachability(&self, now: Timestamp, target: TargetId) -> Reachability {
         if !self.marked.contains(&target) {
@@ -440,13 +448,32 @@
         self.records.get(&target).map_or(Reachability::Reachable, |record| record.reachability(now))
     }
 
-    /// Returns whether the finding that a target is out of reach is too old to act on, so that the target has to be
-    /// checked before its flows are reset.
+    /// Returns whether a target counts as out of reach by a finding that is no longer valid. It has to be checked again
+    /// and ranks behind others until then.
     #[must_use]
-    pub fn needs_recheck(&self, now: Timestamp, target: TargetId) -> bool {
+    pub fn is_lapsed(&self, now: Timestamp, target: TargetId) -> bool {
         self.marked.contains(&target) && self.reachability(now, target) == Reachability::Reachable
     }
 
+    /// Returns why open flows of a target may be reset, if they may.
+    #[must_use]
+    pub fn reset_reason(&self, now: Timestamp, target: TargetId) -> Option<Reachability> {
+        let record = self.records.get(&target).filter(|_| self.marked.contains(&target))?;
+        let justified = |finding: UnreachableFinding| self.keep_findings || finding.justifies_reset(now);
+        match record.finding {
+            _ if record.gone_at.is_some() => Some(Reachability::Gone),
+            Some(finding) if justified(finding) => Some(Reachability::OutOfReach),
+            _ => None,
+        }
+    }
+
+    /// Returns whether a target counts as out of reach by a finding that is too old to reset flows, so that it has to be
+    /// checked first.
+    #[must_use]
+    pub fn needs_check(&self, now: Timestamp, target: TargetId) -> bool {
+        self.marked.contains(&target) && self.reset_reason(now, target).is_none()
+    }
+
     /// Returns the number of targets that are out of reach or gone.
     #[must_use]
     pub fn count_unreachable(&self, now: Timestamp) -> usize {
--- a/crates/core/tests/direct/reachability.rs
+++ b/crates/core/tests/direct/reachability.rs
@@ -9,13 +9,17 @@
 use crate::fleet::store_snapshot;
 use crate::fleet::target_id;
 use crate::fleet::target_spec;
+use hawthornshift_core::direct::adaptive_limit::AdaptiveLimits;
+use hawthornshift_core::direct::adaptive_limit::Usage;
 use hawthornshift_core::direct::decision::Outcome;
 use hawthornshift_core::direct::directory::cookie;
 use hawthornshift_core::direct::dispatcher::Dispatcher;
 use hawthornshift_core::direct::dispatcher::DispatcherConfig;
 use hawthornshift_core::direct::dispatcher::Effect;
+use hawthornshift_core::direct::failures::Failures;
 use hawthornshift_core::direct::load_report::LoadReport;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
+use hawthornshift_core::direct::outlier::Outliers;
 use hawthornshift_core::direct::reachability::CHECK_LIMIT;
 use hawthornshift_core::direct::reachability::CheckOutcome;
 use hawthornshift_core::direct::reachability::Finding;
@@ -134,12 +138,12 @@
         sim.run_until(secs(11));
         assert!(sim.unreachable_total() > 0);
         sim.cut_domain = None;
-        sim.run_until(secs(14));
+        sim.run_until(secs(11) + ms(350));
         let before = sim.decisions_with(Outcome::ResetUnreachable).count();
         sim.run_until(secs(22));
         sim.assert_invariants();
         let after = sim.decisions_with(Outcome::ResetUnreachable).count() - before;
-        assert_eq!(after, 0, "flows of live targets were reset 3 s after the partition or later");
+        assert_eq!(after, 0, "flows of live targets were reset 350 ms after the partition or later");
     }
 }
 
@@ -168,7 +172,7 @@
     for step in 1..600 {
         let now = found_at + ms(10) * step;
         if checks.take_due(now, usual_latency).contains(&SILENT_TARGET) {
-            assert!(checks.needs_recheck(now, SILENT_TARGET));
+            assert!(checks.is_lapsed(now, SILENT_TARGET));
             due_at.push(now.saturating_sub(renewed_at));
             renewed_at = now + CHECK_LIMIT;
             // The process is frozen during the last check, which is inconclusive then.
@@ -192,6 +196,9 @@
 #[test]
 fn a_finding_does_not_survive_a_freeze() {
     let (mut checks, found_at) = out_of_reach();
+    let ages = [ms(299), ms(300)];
+    let reasons = ages.map(|age| checks.reset_reason(found_at + age, SILENT_TARGET));
+    assert_eq!(reasons, [Some(Reachability::OutOfReach), None]);
     let woken_at = found_at + secs(4);
     checks.process_paused(woken_at);
     assert!(!checks.record_peer_failure(woken_at + ms(1), SILENT_TARGET));
@@ -273,3 +280,34 @@
     restarted.apply_delta(failed_at + ms(50), &delta, &mut Vec::new());
     assert_eq!(restarted.unreachable_count(failed_at + ms(50)), 0);
 }
+
+/// A target is suspected or ejected, or a limit is in force, and then a service gets no request for a minute. Whatever
+/// was found must not act on the first requests after that: it used to last until the next answer.
+#[test]
+fn findings_without_new_evidence_expire() {
+    let mut outliers = Outliers::default();
+    outliers.apply_suspicion(NOW, SILENT_TARGET, secs(2));
+    outliers.expire(NOW + secs(31));
+    assert!(outliers.is_suspected(SILENT_TARGET));
+    outliers.expire(NOW + secs(32));
+    assert!(!outliers.is_suspected(SILENT_TARGET));
+
+    let ejection_time = |gap: u64| {
+        let mut failures = Failures::default();
+        assert!(failures.overdue(NOW, SILENT_TARGET));
+        let again = NOW + secs(gap);
+        assert!(failures.overdue(again, SILENT_TARGET));
+        (1..20).find(|seconds| failures.ejected_count(again + secs(*seconds)) == 0)
+    };
+    assert_eq!((ejection_time(10), ejection_time(70)), (Some(6), Some(3)));
+
+    let mut limits = AdaptiveLimits::default();
+    for step in 0..20 {
+        let took = if step == 0 { ms(10) } else { ms(90) };
+        limits.answered(NOW + ms(100) * step, "orders", "a", took, || Usage { open: 20, share: 4.0 });
+    }
+    limits.expire(NOW + secs(11));
+    assert_eq!(limits.count(), 1);
+    limits.expire(NOW + secs(12));
+    assert_eq!(limits.count(), 0);
+}
