--- a/crates/core/src/direct/reachability.rs
+++ b/crates/core/src/direct/reachability.rs
@@ -14,9 +14,9 @@
 //!
 //! Targets are checked only on suspicion. A target that is out of reach is checked again at a doubled interval, whether
 //! answers are awaited or not. The finding keeps new flows away until the next of these checks is due, and justifies
-//! resets for the shortest interval only. Load addressed: a
-//! failure domain is cut off for seconds, and instances with few requests for each of its targets keep the findings
-//! afterwards. A finding without an age would reset flows of targets that can be reached again.
+//! resets for the shortest interval only. Load addressed: a failure domain is cut off for seconds, and instances with few
+//! requests for each of its targets keep the findings afterwards. A finding without an age would reset flows of targets
+//! that can be reached again.
 
 use std::time::Duration;
 
