Give callers of a route equal shares of its slots

Cause: within a route nothing distinguished callers, so one that sends fifty times as many requests as each other one made all of them lose the same part of their requests.

Change: callers with more than four times the mean flows of the others form a class of their own, and the route's weight is divided between both classes by their numbers of callers. The table of callers is bounded, and evicts the one that has been silent for longest. A class may exceed its share by two standard deviations of a Poisson count and still has its guarantee, and the excess is bounded while any other class is active, also if that one is over its share. The switch is caller-shares.

--- a/crates/core/src/direct/adaptive_limit.rs
+++ b/crates/core/src/direct/adaptive_limit.rs
@@ -130,6 +130,15 @@
         self.services.get(service).is_some_and(|domains| domains.values().any(|limit| limit.size.is_some()))
     }
 
+    /// Returns whether a limit is in force for at least half of the failure domains with targets of a service. The
+    /// others are then about to be overloaded too, since flows move there.
+    #[must_use]
+    pub fn is_widespread(&self, service: &str) -> bool {
+        self.services
+            .get(service)
+            .is_some_and(|domains| domains.values().filter(|limit| limit.size.is_some()).count() * 2 >= domains.len())
+    }
+
     /// Returns the number of limits in force.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/core/src/direct/dispatcher/established.rs
+++ b/crates/core/src/direct/dispatcher/established.rs
@@ -89,7 +89,7 @@
         if is_request {
             self.expect_answer(now, target, effects);
             self.open_requests.start(now, flow_hash, target);
-            self.record_route_open(target, segment.flow.service, flow_hash);
+            self.record_class_open(target, segment.flow);
             self.report_open(now, flow_hash, target);
         } else {
             self.open_requests.finish(now, flow_hash);
@@ -126,7 +126,7 @@
                 let flow_hash = segment.flow.flow_hash();
                 self.expect_answer(now, target, effects);
                 self.open_requests.start(now, flow_hash, target);
-                self.record_route_open(target, segment.flow.service, flow_hash);
+                self.record_class_open(target, segment.flow);
                 self.report_if_needed(now, flow_hash, target);
                 segment.acknowledged
             }
@@ -172,7 +172,7 @@
         }
         if moved {
             self.open_requests.start(now, flow.flow_hash(), target);
-            self.record_route_open(target, flow.service, flow.flow_hash());
+            self.record_class_open(target, flow);
             self.report_open(now, flow.flow_hash(), target);
         }
     }
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -87,8 +87,10 @@
         }
         // Retransmissions come from a past interruption and do not predict the arrival rate.
         if retransmissions == 0 {
+            self.record_caller(now, segment.flow);
             self.service_rates.arrived(now, &share.service);
         }
+        pending.heavy = self.fair_shares.class_of(segment.flow.service, *segment.flow.caller.ip()).heavy;
         let late = pending.is_late(now);
         let depth = self.pending.depth(&share.service);
         let first = depth.in_time == 0 && (!late || depth.late == 0);
@@ -110,14 +112,14 @@
         }
         let service = &pending.service;
         let Some(slot_release_rate) = self.slot_release_rate(now, service) else { return false };
-        let route = pending.segment.flow.service;
-        let service_use = self.service_use(now, service, Some(route));
-        let depth = service_use.as_ref().map_or(self.pending.depth(service), |it| it.depth_before(route));
+        let class = pending.class();
+        let service_use = self.service_use(now, service, Some(class));
+        let depth = service_use.as_ref().map_or(self.pending.depth(service), |it| it.depth_before(class));
         let (in_time, attempt) = (pending.in_time_until.saturating_sub(now), pending.deadline.saturating_sub(now));
         let budget = WaitBudget { in_time, attempt };
-        // New flows of other routes take at most what is not guaranteed to this one.
-        let arrivals = match service_use.filter(|it| it.is_guaranteed(route)) {
-            Some(it) => slot_release_rate * (1.0 - it.fraction(route)),
+        // New flows of other classes take at most what is not guaranteed to this one.
+        let arrivals = match service_use.filter(|it| it.is_guaranteed(class)) {
+            Some(it) => slot_release_rate * (1.0 - it.fraction(class)),
             None => self.service_rates.arrivals(now, service),
         };
         admission::admit(budget, depth, slot_release_rate, arrivals) == Admission::Reject
@@ -263,7 +265,7 @@
         self.record_decision(Decision { target: Some(target), work: self.open_requests.count(target), ..decision });
         let flow = segment.flow.flow_hash();
         self.open_requests.start(now, flow, target);
-        self.record_route_open(target, segment.flow.service, flow);
+        self.record_class_open(target, segment.flow);
         self.report_if_needed(now, flow, target);
         self.outliers.tried(now, target);
         if let Some(target) = self.directory.target(target) {
--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -41,6 +41,8 @@
     Admission,
     /// Guarantees a share of a service's slots to each route while routes of different priority compete.
     FairShare,
+    /// Tells callers that send many times more flows than others, so that these get no larger share than others.
+    CallerShares,
     /// Queues flows that can no longer be in time behind those that can.
     LateLast,
     /// Gives a target slightly more requests than it has slots, so that no slot idles.
--- a/crates/core/src/direct/pending.rs
+++ b/crates/core/src/direct/pending.rs
@@ -12,6 +12,7 @@
 
 use crate::Timestamp;
 use crate::direct::admission::QueueDepth;
+use crate::direct::fair_share::FlowClass;
 use crate::direct::segment::FlowHash;
 use crate::direct::segment::Segment;
 use hawthornshift_model::TargetId;
@@ -51,6 +52,8 @@
     pub deadline: Timestamp,
     /// Priority of the route. Zero is the highest.
     pub priority: u8,
+    /// Whether the caller sends many times more flows than the others of its route.
+    pub heavy: bool,
     /// Name of the service.
     pub service: String,
     /// Targets that did not complete the handshake of this flow.
@@ -81,11 +84,18 @@
             in_time_until: received_at + objective.saturating_sub(age) / OBJECTIVE_DIVISOR,
             deadline: received_at + timeout.min(ATTEMPT_DURATION).saturating_sub(age),
             priority: u8::MAX,
+            heavy: false,
             service: String::new(),
             tried: Vec::new(),
         }
     }
 
+    /// Returns the class of the flow among those that share its service.
+    #[must_use]
+    pub fn class(&self) -> FlowClass {
+        FlowClass { route: self.segment.flow.service, heavy: self.heavy }
+    }
+
     /// Returns whether the flow can no longer be answered within its latency objective.
     #[must_use]
     pub fn is_late(&self, now: Timestamp) -> bool {
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -178,12 +178,18 @@
         if !self.mechanisms.has(Mechanism::AdaptiveLimit) {
             return false;
         }
-        let Some(size) = self.limits.size(service, domain) else { return false };
+        let size = match self.limits.size(service, domain) {
+            Some(size) => size,
+            None if self.standing == Standing::ExcessOfCallers && self.limits.is_widespread(service) => 0.0,
+            None => return false,
+        };
         let usage = self.usage(now, service, Some(domain));
         let open = f64::from(usage.open);
         match self.standing {
             Standing::Guaranteed => !self.is_reported(domain),
-            Standing::Excess => !self.is_reported(domain) || open >= usage.share * (1.0 + EXCESS_RESERVE),
+            Standing::Excess | Standing::ExcessOfCallers => {
+                !self.is_reported(domain) || open >= usage.share * (1.0 + EXCESS_RESERVE)
+            }
             Standing::Unaffected => open >= size.max(usage.share),
         }
     }
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -205,6 +205,8 @@
     persistent_caller: Option<usize>,
     /// Whether it is a request of the second route.
     pub is_second: bool,
+    /// Index of the caller's address, if callers have fixed ones.
+    pub caller: Option<usize>,
     /// Bytes that the caller had received on the flow before this request.
     received_bytes: u32,
     pub reset_count: u32,
@@ -275,6 +277,10 @@
     pub service_time: Duration,
     /// Set by `add_second_route`; `per_second` applies to the first route only.
     pub second_route: Option<SecondRoute>,
+    /// Flows of each caller with a fixed address; empty if addresses change.
+    caller_flows: Vec<u16>,
+    /// Requests of the first caller for each one of another caller.
+    pub first_caller_ratio: f64,
     /// Snapshot that an instance reads from the store when it starts.
     pub store_content: Delta,
     seed_addresses: Vec<SocketAddr>,
@@ -331,6 +337,8 @@
             per_second,
             service_time: ms(33),
             second_route: None,
+            caller_flows: Vec::new(),
+            first_caller_ratio: 1.0,
             store_content: store_snapshot(targets),
             seed_addresses: (0..3.min(instances)).map(instance_address).collect(),
             second_target_syns: 0,
@@ -404,6 +412,11 @@
         }
     }
 
+    /// Makes requests come from callers with fixed addresses, one flow for each request.
+    pub fn use_fixed_callers(&mut self, callers: usize) {
+        self.caller_flows = vec![0; callers];
+    }
+
     /// Adds a second route to the service, and sets the priority of the first.
     pub fn add_second_route(&mut self, second: SecondRoute, first_priority: u8) {
         self.second_route = Some(second);
@@ -723,8 +736,9 @@
         let is_second = second_rate > 0.0 && self.rng.random_bool(second_rate / per_second);
         let persistent_caller =
             (!is_second && !self.idle_flows.is_empty()).then(|| self.rng.random_range(0..self.idle_flows.len()));
+        let caller = self.choose_caller();
         let idle = persistent_caller.and_then(|caller| self.idle_flows[caller].take());
-        let flow = idle.map_or_else(|| self.new_flow(is_second), |idle| idle.flow);
+        let flow = idle.map_or_else(|| self.new_flow(is_second, caller), |idle| idle.flow);
         self.requests.push(Request {
             sent_at: self.now,
             answered_at: None,
@@ -735,6 +749,7 @@
             attempt: 0,
             persistent_caller,
             is_second,
+            caller,
             received_bytes: idle.map_or(INITIAL_RECEIVED_BYTES, |idle| idle.received_bytes),
             reset_count: 0,
             failed: false,
@@ -751,11 +766,26 @@
         self.schedule_after(Duration::from_secs_f64(gap), Event::SendRequest);
     }
 
-    fn new_flow(&mut self, is_second: bool) -> FlowId {
+    /// Chooses the caller of a request, if callers have fixed addresses.
+    fn choose_caller(&mut self) -> Option<usize> {
+        let others = self.caller_flows.len().checked_sub(1)?;
+        let weight_of_others = f64::from(u32::try_from(others).unwrap());
+        let first = self.rng.random_bool(self.first_caller_ratio / (self.first_caller_ratio + weight_of_others));
+        Some(if first { 0 } else { self.rng.random_range(1..=others) })
+    }
+
+    fn new_flow(&mut self, is_second: bool, caller: Option<usize>) -> FlowId {
+        let service = if is_second { second_address() } else { service_address() };
+        if let Some(index) = caller {
+            let [high, low] = u16::try_from(index).unwrap().to_be_bytes();
+            self.caller_flows[index] += 1;
+            let caller = SocketAddrV4::new(Ipv4Addr::new(100, 65, high, low), 1_000 + self.caller_flows[index]);
+            return FlowId { caller, service };
+        }
         self.next_port += 1;
         let [_, b, c, d] = self.next_port.to_be_bytes();
         let caller = SocketAddrV4::new(Ipv4Addr::new(100, 64, b, c), 1_000 + u16::from(d));
-        FlowId { caller, service: if is_second { second_address() } else { service_address() } }
+        FlowId { caller, service }
     }
 
     fn start_attempt(&mut self, request: usize, flow: FlowId) {
@@ -827,7 +857,8 @@
 
     fn retry(&mut self, request: usize) {
         if self.requests[request].attempt_count <= MAX_RETRIES {
-            let flow = self.new_flow(self.requests[request].is_second);
+            let Request { is_second, caller, .. } = self.requests[request];
+            let flow = self.new_flow(is_second, caller);
             self.start_attempt(request, flow);
         }
     }
--- a/crates/direct/src/dump.rs
+++ b/crates/direct/src/dump.rs
@@ -66,7 +66,7 @@
     news_age_ms: u128,
     flows: usize,
     waiting: usize,
-    /// Services whose routes compete, while flows wait or a limit is in force.
+    /// Services whose routes or callers compete, while flows wait or a limit is in force.
     shares: BTreeMap<&'a str, ServiceUse>,
     targets: Vec<TargetState<'a>>,
     members: Vec<&'a MemberUpdate>,
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -50,6 +50,7 @@
     gauge!("hawthornshift_targets_failing").set(gauge_value(sources.dispatcher.failing_count(now)));
     gauge!("hawthornshift_limits_in_force").set(gauge_value(sources.dispatcher.active_limit_count()));
     gauge!("hawthornshift_services_contended").set(gauge_value(sources.dispatcher.contended_count()));
+    gauge!("hawthornshift_callers_heavy").set(gauge_value(sources.dispatcher.heavy_callers()));
     counter!("hawthornshift_guaranteed_placements_total").absolute(sources.dispatcher.guaranteed_count());
     let accepting = directory.targets().filter(|target| target.takes_flows(now)).count();
     gauge!("hawthornshift_targets_listed").set(gauge_value(accepting));
