--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -14,7 +14,8 @@
 //! - [`admission`] decides which flows may wait when no slot is free, and [`pending`] queues them.
 //!   [`concurrency_limit`] limits the load that an instance sends while it is alone, [`adaptive_limit`] the load while
 //!   targets are overloaded. [`slot_quota`] divides the slots among the instances then, and [`fair_share`] among routes
-//!   that compete. [`flows`] records the flows that pass through this instance.
+//!   and callers that compete, by their rates in [`caller_rates`]. [`flows`] records the flows that pass through this
+//!   instance.
 //! - [`link_budget`] refuses flows of many bytes that a narrow link of this instance could not carry.
 //! - [`readiness`] decides whether callers should be sent to this instance at all.
 //! - [`fleet`] tracks the other instances, [`watch`] selects the one that watches the store, and [`message`] defines
@@ -28,6 +29,7 @@
 pub mod admission;
 pub mod answer_times;
 pub mod bootstrap;
+pub mod caller_rates;
 pub mod concurrency_limit;
 pub mod decision;
 pub mod directory;
--- a/crates/direct/src/dump.rs
+++ b/crates/direct/src/dump.rs
@@ -69,7 +69,7 @@
     flows: usize,
     waiting: usize,
     link: Option<LinkStatus>,
-    /// Services whose routes compete, while flows wait or a limit is in force.
+    /// Services whose routes or callers compete, while flows wait or a limit is in force.
     shares: BTreeMap<&'a str, ServiceUse>,
     /// Requests that this instance may have open, by overloaded service and failure domain.
     slot_quotas: BTreeMap<&'a str, &'a BTreeMap<String, u32>>,
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -60,6 +60,7 @@
     gauge!("hawthornshift_link_heavy_flows").set(gauge_value(link.heavy_flows));
     counter!("hawthornshift_link_refused_total").absolute(link.refused);
     gauge!("hawthornshift_services_contended").set(gauge_value(sources.dispatcher.contended_count()));
+    gauge!("hawthornshift_callers_heavy").set(gauge_value(sources.dispatcher.heavy_callers()));
     counter!("hawthornshift_guaranteed_placements_total").absolute(sources.dispatcher.guaranteed_count());
     gauge!("hawthornshift_quotas_in_force").set(gauge_value(sources.dispatcher.slot_quotas().in_force().count()));
     let accepting = directory.targets().filter(|target| target.takes_flows(now)).count();
