Learn the speed of targets with the whole group

Cause: the work of every third target takes 1.7 times the nominal time and that of the others 0.7 times. An instance sees some 0.15 answers a second of a target, and the slowness that it learns from them decays within seconds and acts only from 1.8 times the usual time, so slow targets get as many requests as fast ones.

Change: instances report counts and sums of answer times by route and target to their group (Frame::AnswerTimes, at most 400 bytes a second over all recipients with a burst of 8,000). Each fits a time for each route and a factor for each target to them, shrunk towards 1 by the uncertainty, and once the targets of a service clearly differ, the factor multiplies their cost (mechanism target-speed) and divides what they may queue (speed-queue). Without a clear difference all decisions are the same; a test compares them request by request. A started instance asks for a summary.

--- a/crates/core/src/direct/dispatcher/established.rs
+++ b/crates/core/src/direct/dispatcher/established.rs
@@ -13,6 +13,7 @@
 use crate::direct::directory::cookie;
 use crate::direct::flows::AnswerStart;
 use crate::direct::flows::Flow;
+use crate::direct::flows::RequestStart;
 use crate::direct::flows::Stage;
 use crate::direct::load_report::AnsweredRequest;
 use crate::direct::load_report::FailedRequest;
@@ -20,6 +21,7 @@
 use crate::direct::segment::FlowId;
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
+use crate::direct::target_speed;
 use hawthornshift_model::TargetId;
 
 /// Factor on the usual request time. A request that its caller abandons after that time counts as a failure of the
@@ -85,7 +87,9 @@
         // The sequence number of the original SYN is unknown, so a SYN that arrives now is taken for a new flow.
         let sequence = segment.sequence.wrapping_sub(1);
         let (first_seen, last_seen, overdue) = (now, now, false);
-        self.flows.insert(Flow { id, target, sequence, stage, first_seen, last_seen, objective, overdue });
+        // The start of the request may have passed through the other instance.
+        let request = RequestStart::default();
+        self.flows.insert(Flow { id, target, sequence, stage, first_seen, last_seen, objective, overdue, request });
         if is_request {
             self.expect_answer(now, target, effects);
             self.open_requests.start(now, flow_hash, target);
@@ -108,6 +112,9 @@
     fn track_segment(&mut self, now: Timestamp, segment: &Segment, target: TargetId, effects: &mut Vec<Effect>) {
         let Some(flow) = self.flows.get_mut(&segment.flow) else { return };
         flow.last_seen = now;
+        if segment.payload_bytes > 0 && flow.stage.awaits_answer() {
+            flow.request.sent.get_or_insert(now);
+        }
         let request_ack = match &flow.stage {
             Stage::Handshake(pending) => {
                 let (sent, first) = (pending.sent, pending.tried.is_empty());
@@ -121,6 +128,7 @@
                 let start = *start;
                 flow.stage = Stage::AwaitingAnswer { request_ack: segment.acknowledged };
                 flow.first_seen = now;
+                flow.request = RequestStart { sent: Some(now), open: self.open_requests.count(target) + 1 };
                 self.detect_failure(now, segment, target, start);
                 let flow_hash = segment.flow.flow_hash();
                 self.expect_answer(now, target, effects);
@@ -190,6 +198,7 @@
             return;
         }
         let (took, objective, target) = (now.saturating_sub(flow.first_seen), flow.objective, flow.target);
+        let request = flow.request;
         flow.stage = Stage::Answered(Some(AnswerStart { request_ack, after: took }));
         let overdue = std::mem::take(&mut flow.overdue);
         record(&mut self.answer_latencies, took);
@@ -207,9 +216,20 @@
                 ..Decision::new(id, Outcome::AnsweredOverdue)
             });
         }
+        self.learn_speed(now, id, target, request);
         self.record_answered(now, id, target, took);
     }
 
+    /// Records how long a target worked on a request that it has just answered.
+    fn learn_speed(&mut self, now: Timestamp, id: FlowId, target: TargetId, request: RequestStart) {
+        let (Some(sent), Some(round_trip)) = (request.sent, self.handshake_timeout.round_trip()) else { return };
+        let Some(target) = self.directory.target(target).filter(|_| self.is_enabled(Mechanism::TargetSpeed)) else {
+            return;
+        };
+        let work = target_speed::work_time(now.saturating_sub(sent), round_trip, request.open, target.spec.slots);
+        self.target_speeds.sample(now, id.service, target, work);
+    }
+
     /// Ends the open request of an answered flow and updates the statistics that are based on answer times.
     fn record_answered(&mut self, now: Timestamp, id: FlowId, target: TargetId, took: Duration) {
         self.record_liveness(now, target);
--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -45,6 +45,7 @@
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
 use crate::direct::store_entries::Delta;
+use crate::direct::target_speed::TargetSpeeds;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::Revision;
 use hawthornshift_model::TargetId;
@@ -142,6 +143,7 @@
     concurrency_limit: ConcurrencyLimit,
     adaptive_limits: AdaptiveLimits,
     service_rates: ServiceRates,
+    target_speeds: TargetSpeeds,
     /// End of the period in which the state may be stale because this process was paused.
     stale_until: Timestamp,
     /// SYNs buffered before the directory was synced, or while it may be stale.
@@ -204,6 +206,7 @@
             concurrency_limit: ConcurrencyLimit::default(),
             adaptive_limits: AdaptiveLimits::default(),
             service_rates: ServiceRates::default(),
+            target_speeds: TargetSpeeds::default(),
             stale_until: Timestamp::ZERO,
             next_review: Timestamp::ZERO,
             early_syns: Vec::new(),
@@ -336,6 +339,7 @@
             let known = |service: &str| directory.has_service(service);
             self.adaptive_limits.retain(known);
             self.service_rates.retain(known);
+            self.target_speeds.retain(directory);
             self.dispatch_early_syns(now, effects);
             self.dispatch(now, effects);
         }
--- a/crates/core/src/direct/dispatcher/reporting.rs
+++ b/crates/core/src/direct/dispatcher/reporting.rs
@@ -5,6 +5,8 @@
 use super::Dispatcher;
 use super::Effect;
 use crate::Timestamp;
+use crate::direct::answer_time_report::AnswerTimeReport;
+use crate::direct::answer_time_report::ReportKind;
 use crate::direct::directory::cookie;
 use crate::direct::load_report::AnsweredRequest;
 use crate::direct::load_report::LoadReport;
@@ -12,6 +14,10 @@
 use crate::direct::mechanisms::Mechanism;
 use crate::direct::segment::Cookie;
 use crate::direct::segment::FlowHash;
+use crate::direct::target_speed::Recipients;
+use crate::direct::target_speed::SpeedChange;
+use crate::direct::target_speed::TargetSpeeds;
+use crate::rendezvous;
 use hawthornshift_model::TargetId;
 
 impl Dispatcher {
@@ -70,6 +76,42 @@
         self.dispatch(now, effects);
     }
 
+    /// Applies a peer's answer-time report.
+    pub fn apply_answer_times(&mut self, now: Timestamp, report: &AnswerTimeReport) {
+        if !self.is_enabled(Mechanism::TargetSpeed) {
+            return;
+        }
+        if let ReportKind::Request { sender, attempt } = report.kind {
+            let others = self.group.iter().copied().filter(|id| *id != sender);
+            let key = u64::from(sender) ^ (u64::from(attempt) << u32::BITS);
+            if rendezvous::pick(key, others, u64::from) == Some(self.config.id) {
+                self.target_speeds.request_summary();
+            }
+            return;
+        }
+        self.target_speeds.apply(now, &self.directory, report);
+    }
+
+    /// Takes the answer-time report to send to the group, if one is due.
+    pub fn take_answer_times(&mut self, now: Timestamp) -> Option<AnswerTimeReport> {
+        if !self.is_enabled(Mechanism::TargetSpeed) {
+            return None;
+        }
+        let group = Recipients { me: self.config.id, peers: self.group.len().saturating_sub(1) };
+        self.target_speeds.take_report(now, &self.directory, group)
+    }
+
+    /// Returns the speeds of the targets.
+    #[must_use]
+    pub fn target_speeds(&self) -> &TargetSpeeds {
+        &self.target_speeds
+    }
+
+    /// Takes the changes of whether targets' speeds act since the last call.
+    pub fn take_speed_changes(&mut self) -> Vec<SpeedChange> {
+        self.target_speeds.take_changes()
+    }
+
     /// Returns the target with a cookie, if the directory has it.
     pub(super) fn target_by_cookie(&self, cookie: Cookie) -> Option<TargetId> {
         self.directory.by_cookie(cookie).map(|target| target.id)
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -18,6 +18,7 @@
 use crate::direct::directory::cookie;
 use crate::direct::flows::Flow;
 use crate::direct::flows::PendingHandshake;
+use crate::direct::flows::RequestStart;
 use crate::direct::flows::Stage;
 use crate::direct::mechanisms::Mechanism;
 use crate::direct::pending::PendingFlow;
@@ -178,6 +179,7 @@
             domains: &self.domains,
             failures: &self.failures,
             limits: &self.adaptive_limits,
+            speeds: &self.target_speeds,
             domain: &self.config.domain,
             mechanisms: self.config.mechanisms,
             all_domains_reported: self.all_domains_reported,
@@ -262,7 +264,8 @@
         let stage = Stage::Handshake(PendingHandshake { sent: now, packet, tried });
         let (id, sequence) = (segment.flow, segment.sequence);
         let (first_seen, last_seen, overdue) = (received_at, now, false);
-        self.flows.insert(Flow { id, target, sequence, stage, first_seen, last_seen, objective, overdue });
+        let request = RequestStart { sent: None, open: self.open_requests.count(target) };
+        self.flows.insert(Flow { id, target, sequence, stage, first_seen, last_seen, objective, overdue, request });
         self.flows.schedule_handshake_timeout(flow, now + self.handshake_timeout.limit());
     }
 
--- a/crates/core/src/direct/flows.rs
+++ b/crates/core/src/direct/flows.rs
@@ -84,6 +84,17 @@
     pub objective: Duration,
     /// Whether the answer to the current request was found overdue, which may have ejected the target.
     pub overdue: bool,
+    /// When and to how full a target the current request was sent.
+    pub request: RequestStart,
+}
+
+/// Start of a request, for the time that its target works on it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RequestStart {
+    /// When the first packet with data arrived; `None` if it did not pass through this instance yet.
+    pub sent: Option<Timestamp>,
+    /// Number of requests that the target had open when it got this one, including it.
+    pub open: u32,
 }
 
 /// Records of flows, by flow hash.
--- a/crates/core/src/direct/handshake_timeout.rs
+++ b/crates/core/src/direct/handshake_timeout.rs
@@ -37,6 +37,12 @@
         self.round_trip.sample(took);
     }
 
+    /// Returns the smoothed duration of a handshake, or `None` before the first sample.
+    #[must_use]
+    pub fn round_trip(&self) -> Option<Duration> {
+        self.round_trip.bound(0.0)
+    }
+
     /// Returns the current timeout: the minimum before the first sample, and the clamped estimate afterwards.
     #[must_use]
     pub fn limit(&self) -> Duration {
--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -47,6 +47,10 @@
     RemoteCost,
     /// Increases the cost of targets that are slower than usual.
     Slowness,
+    /// Learns with the group how fast each target works, and weights the cost of targets with it.
+    TargetSpeed,
+    /// Lets slow targets queue fewer requests and fast targets more. Acts only with target-speed.
+    SpeedQueue,
     /// Limits the late flows that an instance places while it is alone.
     SoloWindow,
     /// Treats targets that respond again after they were unresponsive as cold. A guarantee for cold targets depends
--- a/crates/core/src/direct/message.rs
+++ b/crates/core/src/direct/message.rs
@@ -9,6 +9,7 @@
 use strum::EnumIter;
 use strum::IntoStaticStr;
 
+use crate::direct::answer_time_report::AnswerTimeReport;
 use crate::direct::load_report::LoadReport;
 use crate::direct::segment::FlowHash;
 use crate::direct::store_entries::Delta;
@@ -35,6 +36,8 @@
     },
     /// A load report. It is the most frequent message and therefore carries no sender description.
     LoadReport(LoadReport),
+    /// How long requests took at targets.
+    AnswerTimes(AnswerTimeReport),
 }
 
 /// Category of a datagram, as used in metrics.
@@ -50,6 +53,8 @@
     StoreUpdate,
     /// Load reports.
     LoadReport,
+    /// Answer-time reports.
+    AnswerTimes,
 }
 
 impl Frame {
@@ -58,6 +63,7 @@
     pub fn kind(&self) -> FrameKind {
         match self {
             Self::LoadReport(_) => FrameKind::LoadReport,
+            Self::AnswerTimes(_) => FrameKind::AnswerTimes,
             Self::WithSender { message, .. } => match message {
                 Message::Ping(_) | Message::Ack(_) | Message::IndirectPing { .. } | Message::IndirectAck { .. } => {
                     FrameKind::Heartbeat
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -10,6 +10,7 @@
 //!   [`load_report`]), [`outlier`] and [`domain_reach`] (targets and whole failure domains that appear unresponsive),
 //!   [`failures`] (targets that answer with failures or, according to [`answer_times`], complete handshakes but do not
 //!   answer) and [`handshake_timeout`] (the time allowed for a handshake).
+//! - [`target_speed`] learns how fast each target works, from reports of the whole group ([`answer_time_report`]).
 //! - [`reachability`] checks targets with outstanding answers, so that flows to unreachable ones can be reset.
 //! - [`admission`] decides which flows may wait when no slot is free, and [`pending`] queues them.
 //!   [`concurrency_limit`] limits the load that an instance sends while it is alone, [`adaptive_limit`] the load while
@@ -24,6 +25,7 @@
 
 pub mod adaptive_limit;
 pub mod admission;
+pub mod answer_time_report;
 pub mod answer_times;
 pub mod bootstrap;
 pub mod concurrency_limit;
@@ -50,4 +52,5 @@
 pub mod smoothed_time;
 pub mod stopping;
 pub mod store_entries;
+pub mod target_speed;
 pub mod watch;
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -22,6 +22,7 @@
 use crate::direct::open_requests::OpenRequests;
 use crate::direct::outlier::Availability;
 use crate::direct::outlier::Outliers;
+use crate::direct::target_speed::TargetSpeeds;
 use crate::rendezvous;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::TargetId;
@@ -87,6 +88,8 @@
     pub failures: &'a Failures,
     /// The limits on open requests while targets are overloaded.
     pub limits: &'a AdaptiveLimits,
+    /// The speeds of the targets.
+    pub speeds: &'a TargetSpeeds,
     /// The failure domain of this instance.
     pub domain: &'a str,
     /// The mechanisms that are switched off for an experiment.
@@ -110,6 +113,7 @@
         let warm = |target: &&Target| !self.is_cold(now, target);
         let mut suspicions = PerDomain::default();
         let mut reached_limits = PerDomain::default();
+        let uneven = self.speeds.is_active(service);
         let mut any_warm = false;
         let mut any_responsive = false;
         let mut best: Option<(f64, u64, TargetId)> = None;
@@ -125,7 +129,8 @@
             if tried.contains(&target.id) || !self.has_room(target, limit) || at_limit {
                 continue;
             }
-            let cost = (self.cost(now, target), rendezvous::score(hash, target.id), target.id);
+            let score = rendezvous::score(hash, target.id);
+            let cost = (self.cost(now, target, uneven.then_some(score)), score, target.id);
             let best_of_rank = match self
                 .outliers
                 .availability(now, target.id, self.handshake_timeout, || self.is_retry_owner(target.id))
@@ -250,10 +255,14 @@
             Limit::Reserve => TARGET_RESERVE,
             Limit::Queue => TARGET_QUEUE_CAPACITY,
         };
+        let reserve =
+            if self.mechanisms.has(Mechanism::SpeedQueue) { self.speeds.queue(target.id, reserve) } else { reserve };
         self.open_requests.count(target.id) < target.spec.slots.max(1) + reserve
     }
 
-    fn cost(&self, now: Timestamp, target: &Target) -> f64 {
+    /// Returns the cost of a target. While the speeds of the service's targets act, `score` is the rendezvous score of
+    /// the target for the flow.
+    fn cost(&self, now: Timestamp, target: &Target, score: Option<u64>) -> f64 {
         let filled = f64::from(self.open_requests.count(target.id) + 1) / f64::from(target.spec.slots.max(1));
         let local = target.spec.failure_domain == self.domain;
         let remote = match (local, self.all_domains_reported) {
@@ -264,6 +273,9 @@
         let remote = if self.mechanisms.has(Mechanism::RemoteCost) { remote } else { 0.0 };
         let slowness =
             if self.mechanisms.has(Mechanism::Slowness) { self.open_requests.slowness(now, target.id) } else { 1.0 };
+        // The speed is learned slowly. A target that has become slow meanwhile counts with its present slowness.
+        let speed = score.map_or(1.0, |score| self.speeds.cost_factor(target.id, score));
+        let slowness = if slowness > 1.0 { slowness.max(speed) } else { speed };
         filled * slowness + remote
     }
 }
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -19,6 +19,7 @@
 use rand::rngs::SmallRng;
 
 use hawthornshift_core::Timestamp;
+use hawthornshift_core::direct::answer_time_report::AnswerTimeReport;
 use hawthornshift_core::direct::decision::Decision;
 use hawthornshift_core::direct::decision::Outcome;
 use hawthornshift_core::direct::directory::cookie;
@@ -420,6 +421,13 @@
         }
     }
 
+    /// Applies an answer-time report at every running instance.
+    pub fn apply_answer_times(&mut self, report: &AnswerTimeReport) {
+        for index in 0..self.instances.len() {
+            self.with(index, |instance, now, _| instance.dispatcher.apply_answer_times(now, report));
+        }
+    }
+
     /// Applies `change` to the targets with these indices.
     pub fn change_targets(&mut self, indices: impl IntoIterator<Item = usize>, change: impl Fn(&mut SimTarget)) {
         for index in indices {
@@ -518,6 +526,7 @@
         let result = action(instance, now, &mut effects);
         let report = instance.dispatcher.take_report();
         let decisions = instance.dispatcher.take_decisions();
+        let answer_times = instance.dispatcher.take_answer_times(now);
         let group = instance.group.clone();
         self.second_target_syns +=
             decisions.iter().filter(|decision| decision.outcome == Outcome::PlacedAgain).count() as u64;
@@ -528,6 +537,9 @@
             self.report_count += group.len();
             self.send(index, &group, &Frame::LoadReport(report));
         }
+        if let Some(report) = answer_times {
+            self.send(index, &group, &Frame::AnswerTimes(report));
+        }
         for effect in effects {
             self.carry_out(index, effect);
         }
@@ -593,6 +605,9 @@
                         instance.dispatcher.apply_load_report(now, &report, effects);
                     });
                 }
+                FleetEffect::ApplyAnswerTimes(report) => {
+                    self.with(index, |instance, now, _| instance.dispatcher.apply_answer_times(now, &report));
+                }
                 FleetEffect::Changed => {
                     self.with(index, |instance, now, _| {
                         instance.group = instance.fleet.group();
@@ -964,6 +979,18 @@
         (share(in_time), share(at_all))
     }
 
+    /// Returns the mean latency of the answered requests among those sent in a span.
+    pub fn mean_latency(&self, from: Timestamp, to: Timestamp) -> Duration {
+        let sent = self.requests.iter().filter(|r| r.sent_at >= from && r.sent_at < to);
+        let latencies: Vec<Duration> = sent.filter_map(|r| Some(r.answered_at?.saturating_sub(r.sent_at))).collect();
+        latencies.iter().sum::<Duration>() / u32::try_from(latencies.len()).unwrap().max(1)
+    }
+
+    /// Returns an instance's dispatcher.
+    pub fn dispatcher(&self, index: usize) -> &Dispatcher {
+        &self.instances[index].as_ref().unwrap().dispatcher
+    }
+
     /// Returns the decisions with an outcome.
     pub fn decisions_with(&self, outcome: Outcome) -> impl Iterator<Item = &Decision> {
         self.decisions_by_flow
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -16,4 +16,5 @@
 mod routes;
 mod rules;
 mod store_updates;
+mod target_speed;
 mod watching;
--- a/crates/direct/src/dump.rs
+++ b/crates/direct/src/dump.rs
@@ -10,6 +10,7 @@
 use hawthornshift_core::direct::dispatcher::Dispatcher;
 use hawthornshift_core::direct::fleet::Fleet;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
+use hawthornshift_core::direct::target_speed::SpeedEstimate;
 use hawthornshift_core::message::MemberUpdate;
 
 /// Counters of the process itself.
@@ -49,6 +50,7 @@
     target: &'a Target,
     work: u32,
     slowness: f64,
+    speed: Option<SpeedEstimate>,
     cold: bool,
     takes_flows: bool,
 }
@@ -100,6 +102,7 @@
         target,
         work: dispatcher.open_requests().count(target.id),
         slowness: dispatcher.open_requests().slowness(now, target.id),
+        speed: dispatcher.target_speeds().estimate(now, target.id),
         cold: target.is_cold(now),
         takes_flows: target.takes_flows(now) && !directory.is_evacuated(&target.spec.failure_domain),
     });
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -22,6 +22,7 @@
         record_state(now, sources);
         record_decisions(sources);
         record_sockets(sources);
+        record_target_speeds(sources);
     });
     handle.render()
 }
@@ -67,6 +68,19 @@
     }
 }
 
+fn record_target_speeds(sources: &Sources<'_>) {
+    let speeds = sources.dispatcher.target_speeds();
+    let (fastest, slowest) = speeds.factor_range();
+    gauge!("hawthornshift_target_speeds_known").set(gauge_value(speeds.known_count()));
+    gauge!("hawthornshift_target_speeds_active").set(gauge_value(speeds.active_count()));
+    gauge!("hawthornshift_target_speed_fastest").set(fastest);
+    gauge!("hawthornshift_target_speed_slowest").set(slowest);
+    let counts = speeds.counts();
+    for (name, count) in [("own", counts.own), ("peers", counts.peers)] {
+        counter!("hawthornshift_answer_time_samples_total", "from" => name).absolute(count);
+    }
+}
+
 fn record_sockets(sources: &Sources<'_>) {
     let (callers, peers, process) = (sources.callers, sources.peers, sources.process);
     let counts = [
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -288,6 +288,7 @@
                     self.dispatcher.apply_load_report(now, &report, &mut self.effects);
                     self.execute_effects();
                 }
+                FleetEffect::ApplyAnswerTimes(report) => self.dispatcher.apply_answer_times(now, &report),
                 FleetEffect::Changed => self.fleet_changed(),
             }
         }
@@ -413,6 +414,15 @@
         }
     }
 
+    /// Logs the services whose targets' speeds start or stop to act on placement.
+    fn log_speed_changes(&mut self) {
+        for change in self.dispatcher.take_speed_changes() {
+            info!(self.log, "target speeds"; "service" => change.service, "active" => change.active,
+                "targets" => change.targets, "fastest" => change.ratios.0, "slowest" => change.ratios.1,
+                "samples" => change.samples, "age_ms" => millis(change.age));
+        }
+    }
+
     /// Sends the load report of this turn to the group, and logs reachability changes and decisions.
     fn flush(&mut self) {
         let now = self.now();
@@ -422,6 +432,10 @@
                 self.peers.send(&self.group_addresses, &Frame::LoadReport(part));
             }
         }
+        if let Some(report) = self.dispatcher.take_answer_times(now) {
+            self.peers.send(&self.group_addresses, &Frame::AnswerTimes(report));
+        }
+        self.log_speed_changes();
         let directory = self.dispatcher.directory();
         let age = self.fleet.watcher_role().age(now);
         let state = StateSummary { revision: directory.revision(), version: directory.version(), age };
