Divide the load between targets of uneven speed by marginal cost

Cause: instances see only a part of each other's requests.

Change: a target with a free slot gets the cost of the fastest for a fraction of the flows, chosen by the rendezvous score. The fractions come from the load that passes through the instance and equalize the marginal time of one more request (M/G/c). The tie-breaking term of the cost is gone.

--- a/crates/core/src/direct/dispatcher/reporting.rs
+++ b/crates/core/src/direct/dispatcher/reporting.rs
@@ -14,6 +14,7 @@
 use crate::direct::mechanisms::Mechanism;
 use crate::direct::segment::Cookie;
 use crate::direct::segment::FlowHash;
+use crate::direct::target_speed::CapacityShare;
 use crate::direct::target_speed::Recipients;
 use crate::direct::target_speed::SpeedChange;
 use crate::direct::target_speed::TargetSpeeds;
@@ -101,6 +102,12 @@
         self.target_speeds.take_report(now, &self.directory, group)
     }
 
+    /// Fits the speeds of the targets. The group shares the targets that its load reports cover.
+    pub(super) fn update_target_speeds(&mut self, now: Timestamp) {
+        let domain = (!self.all_domains_reported).then_some(self.config.domain.as_str());
+        self.target_speeds.update(now, &self.directory, CapacityShare { domain, instances: self.group.len() });
+    }
+
     /// Returns the speeds of the targets.
     #[must_use]
     pub fn target_speeds(&self) -> &TargetSpeeds {
--- a/crates/core/src/direct/dispatcher/timers.rs
+++ b/crates/core/src/direct/dispatcher/timers.rs
@@ -51,7 +51,7 @@
                 self.packets_missed_until = Some(now + MISSED_PACKETS_WINDOW);
             }
             self.review_open_requests(now);
-            self.target_speeds.update(now, &self.directory);
+            self.update_target_speeds(now);
             self.check_targets(now, effects);
         }
         self.open_requests.expire(now);
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -130,7 +130,8 @@
                 continue;
             }
             let score = rendezvous::score(hash, target.id);
-            let cost = (self.cost(now, target, uneven.then_some(score)), score, target.id);
+            let (speed, score) = if uneven { self.weigh_speed(target, score) } else { (1.0, score) };
+            let cost = (self.cost(now, target, speed), score, target.id);
             let best_of_rank = match self
                 .outliers
                 .availability(now, target.id, self.handshake_timeout, || self.is_retry_owner(target.id))
@@ -260,9 +261,13 @@
         self.open_requests.count(target.id) < target.spec.slots.max(1) + reserve
     }
 
-    /// Returns the cost of a target. While the speeds of the service's targets act, `score` is the rendezvous score of
-    /// the target for the flow.
-    fn cost(&self, now: Timestamp, target: &Target, score: Option<u64>) -> f64 {
+    /// Returns the factor of a target's speed on its cost for one flow, and the score that decides between equal costs.
+    fn weigh_speed(&self, target: &Target, score: u64) -> (f64, u64) {
+        let has_free_slot = self.open_requests.count(target.id) < target.spec.slots.max(1);
+        self.speeds.weigh(target.id, score, has_free_slot)
+    }
+
+    fn cost(&self, now: Timestamp, target: &Target, speed: f64) -> f64 {
         let filled = f64::from(self.open_requests.count(target.id) + 1) / f64::from(target.spec.slots.max(1));
         let local = target.spec.failure_domain == self.domain;
         let remote = match (local, self.all_domains_reported) {
@@ -274,7 +279,6 @@
         let slowness =
             if self.mechanisms.has(Mechanism::Slowness) { self.open_requests.slowness(now, target.id) } else { 1.0 };
         // The speed is learned slowly. A target that has become slow meanwhile counts with its present slowness.
-        let speed = score.map_or(1.0, |score| self.speeds.cost_factor(target.id, score));
         let slowness = if slowness > 1.0 { slowness.max(speed) } else { speed };
         filled * slowness + remote
     }
