--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -54,6 +54,7 @@
 use crate::direct::segment::SegmentKind;
 use crate::direct::slot_quota::SlotQuotas;
 use crate::direct::store_entries::Delta;
+use crate::direct::target_speed::TargetSpeeds;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::Revision;
 use hawthornshift_model::TargetId;
@@ -159,6 +160,7 @@
     fair_shares: FairShares,
     guaranteed_count: u64,
     slot_quotas: SlotQuotas,
+    target_speeds: TargetSpeeds,
     /// End of the period in which the state may be stale because this process was paused.
     stale_until: Timestamp,
     /// SYNs buffered before the directory was synced, or while it may be stale.
@@ -225,6 +227,7 @@
             fair_shares: FairShares::default(),
             guaranteed_count: 0,
             slot_quotas: SlotQuotas::default(),
+            target_speeds: TargetSpeeds::default(),
             stale_until: Timestamp::ZERO,
             next_review: Timestamp::ZERO,
             early_syns: Vec::new(),
@@ -375,6 +378,7 @@
                 self.fair_shares.set_routes(routing);
             }
             self.slot_quotas.retain(known);
+            self.target_speeds.retain(directory);
             self.dispatch_early_syns(now, effects);
             self.dispatch(now, effects);
         }
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -25,6 +25,7 @@
 use self::view_sync::MAX_VIEW_PARTS;
 use self::view_sync::ViewSync;
 use crate::Timestamp;
+use crate::direct::answer_time_report::AnswerTimeReport;
 use crate::direct::directory_lag::DirectoryLag;
 use crate::direct::directory_lag::MissingRevision;
 use crate::direct::load_report::LoadReport;
@@ -97,6 +98,8 @@
     ApplyDelta(Arc<Delta>),
     /// Apply a load report.
     ApplyLoadReport(LoadReport),
+    /// Apply an answer-time report.
+    ApplyAnswerTimes(AnswerTimeReport),
     /// The set of serving instances changed.
     Changed,
 }
@@ -278,6 +281,7 @@
     pub fn handle_datagram(&mut self, now: Timestamp, frame: Frame, revision: Revision) -> Vec<FleetEffect> {
         let (sender, message) = match frame {
             Frame::LoadReport(report) => return vec![FleetEffect::ApplyLoadReport(report)],
+            Frame::AnswerTimes(report) => return vec![FleetEffect::ApplyAnswerTimes(report)],
             Frame::WithSender { sender, message } => (sender, message),
         };
         if sender.id == self.membership.me().id {
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -26,6 +26,7 @@
 use crate::direct::reachability::Reachability;
 use crate::direct::reachability::ReachabilityChecks;
 use crate::direct::slot_quota::SlotQuotas;
+use crate::direct::target_speed::TargetSpeeds;
 use crate::rendezvous;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::TargetId;
@@ -98,6 +99,8 @@
     pub limits: &'a AdaptiveLimits,
     /// The quotas of the slots of overloaded services.
     pub quotas: &'a SlotQuotas,
+    /// The speeds of the targets.
+    pub speeds: &'a TargetSpeeds,
     /// The failure domain of this instance.
     pub domain: &'a str,
     /// The mechanisms that are switched off for an experiment.
@@ -123,6 +126,7 @@
         let warm = |target: &&Target| !self.is_cold(now, target) && self.is_reachable(now, target.id);
         let mut suspicions = PerDomain::default();
         let mut reached_limits = PerDomain::default();
+        let uneven = self.speeds.is_active(service);
         let mut any_warm = false;
         let mut any_responsive = false;
         let mut best: Option<(f64, u64, TargetId)> = None;
@@ -138,7 +142,9 @@
             if tried.contains(&target.id) || !self.has_room(target, limit) || at_limit {
                 continue;
             }
-            let cost = (self.cost(now, target), rendezvous::score(hash, target.id), target.id);
+            let score = rendezvous::score(hash, target.id);
+            let (speed, score) = if uneven { self.weigh_speed(target, score) } else { (1.0, score) };
+            let cost = (self.cost(now, target, speed), score, target.id);
             let best_of_rank = match self
                 .outliers
                 .availability(now, target.id, self.handshake_timeout, || self.is_retry_owner(target.id))
@@ -305,10 +311,18 @@
             Limit::Reserve => TARGET_RESERVE,
             Limit::Queue => TARGET_QUEUE_CAPACITY,
         };
+        let reserve =
+            if self.mechanisms.has(Mechanism::SpeedQueue) { self.speeds.queue(target.id, reserve) } else { reserve };
         self.open_requests.count(target.id) < target.spec.slots.max(1) + reserve
     }
 
-    fn cost(&self, now: Timestamp, target: &Target) -> f64 {
+    /// Returns the factor of a target's speed on its cost for one flow, and the score that decides between equal costs.
+    fn weigh_speed(&self, target: &Target, score: u64) -> (f64, u64) {
+        let has_free_slot = self.open_requests.count(target.id) < target.spec.slots.max(1);
+        self.speeds.weigh(target.id, score, has_free_slot)
+    }
+
+    fn cost(&self, now: Timestamp, target: &Target, speed: f64) -> f64 {
         let filled = f64::from(self.open_requests.count(target.id) + 1) / f64::from(target.spec.slots.max(1));
         let local = target.spec.failure_domain == self.domain;
         let remote = match (local, self.all_domains_reported) {
@@ -319,6 +333,8 @@
         let remote = if self.mechanisms.has(Mechanism::RemoteCost) { remote } else { 0.0 };
         let slowness =
             if self.mechanisms.has(Mechanism::Slowness) { self.open_requests.slowness(now, target.id) } else { 1.0 };
+        // The speed is learned slowly. A target that has become slow meanwhile counts with its present slowness.
+        let slowness = if slowness > 1.0 { slowness.max(speed) } else { speed };
         filled * slowness + remote
     }
 }
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -20,4 +20,5 @@
 mod rules;
 mod slot_quota;
 mod store_updates;
+mod target_speed;
 mod watching;
--- a/crates/direct/src/dump.rs
+++ b/crates/direct/src/dump.rs
@@ -14,6 +14,7 @@
 use hawthornshift_core::direct::fleet::Fleet;
 use hawthornshift_core::direct::link_budget::LinkStatus;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
+use hawthornshift_core::direct::target_speed::SpeedEstimate;
 use hawthornshift_core::message::MemberUpdate;
 
 /// Counters of the process itself.
@@ -53,6 +54,7 @@
     target: &'a Target,
     work: u32,
     slowness: f64,
+    speed: Option<SpeedEstimate>,
     cold: bool,
     takes_flows: bool,
 }
@@ -110,6 +112,7 @@
         target,
         work: dispatcher.open_requests().count(target.id),
         slowness: dispatcher.open_requests().slowness(now, target.id),
+        speed: dispatcher.target_speeds().estimate(now, target.id),
         cold: target.is_cold(now),
         takes_flows: target.takes_flows(now) && !directory.is_evacuated(&target.spec.failure_domain),
     });
