Divide the slots of an overloaded service by reported demand

Cause: quotas of equal size ignore that callers concentrate on some instances of a failure domain.

Change: while its quotas are in force, an instance reports its arrival rate and its open requests to its group every 300 ms (Frame::Capacity, at most 20 recipients in turn). The slots are divided in proportion to these rates; an instance without a report younger than 1 s counts with the average. Quotas end when the group has had fewer open requests than slots for 1 s.

Uneven demand is not measured.

--- a/crates/core/src/direct/dispatcher/quotas.rs
+++ b/crates/core/src/direct/dispatcher/quotas.rs
@@ -1,9 +1,12 @@
-//! Quotas of the slots of overloaded services.
+//! Quotas of the slots of overloaded services, and the demand reports that they follow.
 
 use std::collections::BTreeMap;
 
 use super::Dispatcher;
 use crate::Timestamp;
+use crate::direct::capacity_report::CapacityReport;
+use crate::direct::capacity_report::ServiceDemand;
+use crate::direct::capacity_report::service_key;
 use crate::direct::mechanisms::Mechanism;
 use crate::direct::slot_quota::QuotaChange;
 use crate::direct::slot_quota::QuotaInputs;
@@ -21,10 +24,36 @@
         self.slot_quotas.take_changes()
     }
 
+    /// Takes the capacity report to send to peers if one is due, and its number, which determines the recipients.
+    pub fn take_capacity_report(&mut self, now: Timestamp) -> Option<(usize, CapacityReport)> {
+        self.slot_quotas.in_force().next()?;
+        let round = self.slot_quotas.demands.next_round(now)?;
+        let services = self.slot_quotas.in_force().map(|(service, _)| self.own_demand(now, service)).collect();
+        Some((round, CapacityReport::Demand { sender: self.config.id, services }))
+    }
+
+    /// Applies a peer's capacity report.
+    pub fn apply_capacity_report(&mut self, now: Timestamp, report: &CapacityReport) {
+        let CapacityReport::Demand { sender, services } = report;
+        if self.is_enabled(Mechanism::SlotQuota) && *sender != self.config.id && self.group.contains(sender) {
+            self.slot_quotas.demands.record(now, *sender, services);
+        }
+    }
+
+    /// Returns this instance's demand for a service.
+    fn own_demand(&self, now: Timestamp, service: &str) -> ServiceDemand {
+        let arrivals = self.slot_quotas.arrivals(service).unwrap_or_else(|| self.service_rates.arrivals(now, service));
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped to the range just before")]
+        let arrivals_per_second = arrivals.round().clamp(0.0, f64::from(u16::MAX)) as u16;
+        let open = u16::try_from(self.placement().open(service, &self.config.domain)).unwrap_or(u16::MAX);
+        ServiceDemand { service: service_key(service), arrivals_per_second, open }
+    }
+
     /// Recomputes the quotas of all services that are or were overloaded.
     pub(super) fn review_quotas(&mut self, now: Timestamp) {
-        let quotas = self.slot_quotas.in_force().map(|(service, _)| service.to_owned());
-        let mut services: Vec<String> = self.adaptive_limits.overloaded().map(str::to_owned).chain(quotas).collect();
+        self.slot_quotas.demands.expire(now, &self.group);
+        let mut services: Vec<String> = self.slot_quotas.in_force().map(|(service, _)| service.to_owned()).collect();
+        services.extend(self.adaptive_limits.overloaded().map(str::to_owned));
         services.sort_unstable();
         services.dedup();
         for service in services {
@@ -37,24 +66,22 @@
         if !self.is_enabled(Mechanism::SlotQuota) || !self.is_enabled(Mechanism::AdaptiveLimit) {
             return;
         }
-        let mut quotas = std::mem::take(&mut self.slot_quotas);
+        self.slot_quotas.sample_arrivals(service, self.service_rates.arrivals(now, service));
+        let demand = self.slot_quotas.demands.demand(self.own_demand(now, service), self.group.len());
         let mut slots: BTreeMap<&str, u32> = BTreeMap::new();
         for target in self.directory.candidates(now, service) {
             *slots.entry(target.spec.failure_domain.as_str()).or_insert(0) += target.spec.slots.max(1);
         }
-        let group = u32::try_from(self.group.len()).unwrap_or(u32::MAX).max(1);
         let inputs = QuotaInputs {
             me: self.config.id,
             domain: &self.config.domain,
             slots,
-            group_fraction: 1.0 / f64::from(group),
+            demand,
+            limited: self.adaptive_limits.is_overloaded(service),
             group: self.group.len(),
             instances: self.instances.len(),
             all_domains_reported: self.all_domains_reported,
         };
-        let overloaded = self.adaptive_limits.is_overloaded(service);
-        let open = |domain: &str| self.placement().usage(now, service, Some(domain)).open;
-        quotas.review(now, service, &inputs, overloaded, open);
-        self.slot_quotas = quotas;
+        self.slot_quotas.review(now, service, &inputs);
     }
 }
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -25,6 +25,7 @@
 use self::view_sync::MAX_VIEW_PARTS;
 use self::view_sync::ViewSync;
 use crate::Timestamp;
+use crate::direct::capacity_report::CapacityReport;
 use crate::direct::load_report::LoadReport;
 use crate::direct::message::Frame;
 use crate::direct::message::Heartbeat;
@@ -95,6 +96,8 @@
     ApplyDelta(Arc<Delta>),
     /// Apply a load report.
     ApplyLoadReport(LoadReport),
+    /// Apply a capacity report.
+    ApplyCapacityReport(CapacityReport),
     /// The set of serving instances changed.
     Changed,
 }
@@ -262,6 +265,7 @@
     pub fn handle_datagram(&mut self, now: Timestamp, frame: Frame, revision: Revision) -> Vec<FleetEffect> {
         let (sender, message) = match frame {
             Frame::LoadReport(report) => return vec![FleetEffect::ApplyLoadReport(report)],
+            Frame::Capacity(report) => return vec![FleetEffect::ApplyCapacityReport(report)],
             Frame::WithSender { sender, message } => (sender, message),
         };
         if sender.id == self.membership.me().id {
--- a/crates/core/src/direct/message.rs
+++ b/crates/core/src/direct/message.rs
@@ -9,6 +9,7 @@
 use strum::EnumIter;
 use strum::IntoStaticStr;
 
+use crate::direct::capacity_report::CapacityReport;
 use crate::direct::load_report::LoadReport;
 use crate::direct::segment::FlowHash;
 use crate::direct::store_entries::Delta;
@@ -35,6 +36,8 @@
     },
     /// A load report. It is the most frequent message and therefore carries no sender description.
     LoadReport(LoadReport),
+    /// A capacity report. Instances of earlier versions count it as malformed.
+    Capacity(CapacityReport),
 }
 
 /// Category of a datagram, as used in metrics.
@@ -50,6 +53,8 @@
     StoreUpdate,
     /// Load reports.
     LoadReport,
+    /// Capacity reports.
+    Capacity,
 }
 
 impl Frame {
@@ -58,6 +63,7 @@
     pub fn kind(&self) -> FrameKind {
         match self {
             Self::LoadReport(_) => FrameKind::LoadReport,
+            Self::Capacity(_) => FrameKind::Capacity,
             Self::WithSender { message, .. } => match message {
                 Message::Ping(_) | Message::Ack(_) | Message::IndirectPing { .. } | Message::IndirectAck { .. } => {
                     FrameKind::Heartbeat
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -13,7 +13,8 @@
 //! - [`reachability`] checks targets with outstanding answers, so that flows to unreachable ones can be reset.
 //! - [`admission`] decides which flows may wait when no slot is free, and [`pending`] queues them.
 //!   [`concurrency_limit`] limits the load that an instance sends while it is alone, [`adaptive_limit`] the load while
-//!   targets are overloaded, and [`slot_quota`] divides the slots among the instances then. [`flows`] records the
+//!   targets are overloaded, and [`slot_quota`] divides the slots among the instances then, by the
+//!   demand that they share in [`capacity_report`]. [`flows`] records the
 //!   flows that pass through this instance.
 //! - [`readiness`] decides whether callers should be sent to this instance at all.
 //! - [`fleet`] tracks the other instances, [`watch`] selects the one that watches the store, and [`message`] defines
@@ -27,6 +28,7 @@
 pub mod admission;
 pub mod answer_times;
 pub mod bootstrap;
+pub mod capacity_report;
 pub mod concurrency_limit;
 pub mod decision;
 pub mod directory;
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -184,7 +184,8 @@
     }
 
     /// Returns the number of open requests of this instance with a service's targets in a failure domain.
-    fn open(&self, service: &str, domain: &str) -> u32 {
+    #[must_use]
+    pub fn open(&self, service: &str, domain: &str) -> u32 {
         let serves = |id: TargetId| {
             self.directory
                 .target(id)
--- a/crates/core/src/direct/slot_quota.rs
+++ b/crates/core/src/direct/slot_quota.rs
@@ -8,9 +8,12 @@
 //! While a service is overloaded, each of its slots has one owner: the slots of a failure domain are divided among the
 //! instances there. A single report group needs no quotas, since its instances know what all others place.
 //!
-//! Quotas are applied from the first adaptive limit of the service until no quota has been reached for
-//! [`RELEASE_TIME`]. Answers are quick again as soon as the quotas take effect, so the limits alone would be removed
-//! while the demand continues.
+//! The slots are divided in proportion to the demand that the instances share in
+//! [`capacity_report`](crate::direct::capacity_report).
+//!
+//! An instance applies its quotas from its first adaptive limit of the service until the open requests of the group have
+//! been fewer than the slots for [`RELEASE_TIME`]. Answers are quick again as soon as the quotas take effect, so the
+//! limits alone would be removed while the demand continues.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -18,6 +21,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Timestamp;
+use crate::direct::capacity_report::GroupDemand;
+use crate::direct::capacity_report::GroupDemands;
 use hawthornshift_model::InstanceId;
 
 /// Ratio of the open requests that an instance may have to the slots that it owns.
@@ -26,10 +31,14 @@
 /// targets without knowing all requests of the others. In a replay with 65 instances and requests of 40 ms, 1.25 left 30%
 /// of the slots idle and 2.0 left 3%. With requests of 24 ms, 2.0 served fewer than without limits, and 2.4 more.
 const OPEN_PER_SLOT: f64 = 2.4;
-/// Time without a reached quota after which the quotas of a service are removed.
+/// Time with fewer open requests than slots after which the quotas of a service are removed.
 const RELEASE_TIME: Duration = Duration::from_secs(1);
-/// Fraction of a quota from which it counts as reached.
-const REACHED_FRACTION: f64 = 0.75;
+/// Smallest demand with which an instance counts, as a fraction of the average. An instance without arrivals would
+/// otherwise have no quota for the first of them.
+const MIN_DEMAND: f64 = 0.2;
+/// Weight of a new sample in the arrival rate. With a sample every 50 ms the rate follows the demand within 0.5 s, and
+/// the random variation of 30 arrivals per second stays below a fifth.
+const ARRIVALS_WEIGHT: f64 = 0.05;
 /// Fraction of a failure domain's slots that are divided among the instances of other failure domains.
 const REMOTE_FRACTION: f64 = 0.05;
 /// Period after which the fractions of quotas are rounded differently, so that an instance with a quota below one
@@ -45,8 +54,10 @@
     pub domain: &'a str,
     /// Number of slots of the service's targets, by failure domain.
     pub slots: BTreeMap<&'a str, u32>,
-    /// Fraction of the slots of its report group that this instance owns.
-    pub group_fraction: f64,
+    /// Demand of the report group.
+    pub demand: GroupDemand,
+    /// Whether an adaptive limit of the service is in force.
+    pub limited: bool,
     /// Number of instances in the report group, including this one.
     pub group: usize,
     /// Number of all serving instances, including this one.
@@ -60,7 +71,7 @@
     fn quota(&self, domain: &str, slots: u32) -> f64 {
         let open = f64::from(slots) * OPEN_PER_SLOT;
         if domain == self.domain {
-            return open * (1.0 - REMOTE_FRACTION) * self.group_fraction;
+            return open * (1.0 - REMOTE_FRACTION) * self.own_fraction();
         }
         if !self.slots.contains_key(self.domain) {
             return open / count(self.instances);
@@ -68,6 +79,16 @@
         open * REMOTE_FRACTION / count(self.instances.saturating_sub(self.group))
     }
 
+    /// Returns the fraction of the slots of its failure domain that this instance owns.
+    fn own_fraction(&self) -> f64 {
+        (self.demand.own_fraction + MIN_DEMAND / count(self.group)) / (1.0 + MIN_DEMAND)
+    }
+
+    /// Returns whether the group has at least as many requests open in its failure domain as there are slots.
+    fn are_slots_used(&self) -> bool {
+        self.slots.get(self.domain).is_none_or(|slots| self.demand.open >= f64::from(*slots))
+    }
+
     /// Returns a quota rounded up or down. The instances round differently, so that the sum is that of the quotas
     /// before rounding, up to its random deviation.
     fn round(&self, now: Timestamp, domain: &str, quota: f64) -> u32 {
@@ -90,14 +111,14 @@
 /// The quotas of one service.
 #[derive(Clone, Debug)]
 struct ServiceQuotas {
-    /// When a limit was last in force or a quota was last reached.
-    last_reached: Timestamp,
+    /// When all slots were last used.
+    last_used: Timestamp,
     /// Number of requests that this instance may have open, by failure domain.
     domains: BTreeMap<String, u32>,
 }
 
 /// Start or end of the quotas of a service.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct QuotaChange {
     /// The service.
     pub service: String,
@@ -107,8 +128,10 @@
     pub quota: u32,
     /// Number of slots of the service in the instance's own failure domain.
     pub slots: u32,
-    /// Time since a limit was last in force or a quota was last reached.
+    /// Time since all slots were last used.
     pub idle: Duration,
+    /// Fraction of the group's demand that is this instance's own.
+    pub own_fraction: f64,
 }
 
 /// The quotas of all services that are overloaded.
@@ -116,6 +139,10 @@
 pub struct SlotQuotas {
     services: BTreeMap<String, ServiceQuotas>,
     changes: Vec<QuotaChange>,
+    /// Smoothed arrival rate of new flows per second, by service.
+    arrivals: BTreeMap<String, f64>,
+    /// Demand of the group's other members.
+    pub demands: GroupDemands,
 }
 
 impl SlotQuotas {
@@ -137,20 +164,23 @@
         self.services.iter().map(|(name, service)| (name.as_str(), &service.domains))
     }
 
+    /// Adds a sample of the arrival rate of new flows, per second.
+    pub fn sample_arrivals(&mut self, service: &str, per_second: f64) {
+        let rate = self.arrivals.entry(service.to_owned()).or_insert(per_second);
+        *rate += (per_second - *rate) * ARRIVALS_WEIGHT;
+    }
+
+    /// Returns the smoothed arrival rate of new flows per second, or `None` before the first sample.
+    #[must_use]
+    pub fn arrivals(&self, service: &str) -> Option<f64> {
+        self.arrivals.get(service).copied()
+    }
+
     /// Recomputes the quotas of a service.
-    ///
-    /// `overloaded` states whether an adaptive limit of the service is in force, and `open` returns the number of
-    /// requests that this instance has open in a failure domain.
-    pub fn review(
-        &mut self,
-        now: Timestamp,
-        service: &str,
-        inputs: &QuotaInputs<'_>,
-        overloaded: bool,
-        open: impl Fn(&str) -> u32,
-    ) {
+    pub fn review(&mut self, now: Timestamp, service: &str, inputs: &QuotaInputs<'_>) {
         let is_in_force = self.services.contains_key(service);
-        if inputs.all_domains_reported || inputs.slots.len() < 2 || !(overloaded || is_in_force) {
+        let starts = inputs.limited && inputs.are_slots_used();
+        if inputs.all_domains_reported || inputs.slots.len() < 2 || !(starts || is_in_force) {
             self.end(now, service, inputs);
             return;
         }
@@ -160,14 +190,13 @@
             .map(|(domain, slots)| ((*domain).to_owned(), inputs.round(now, domain, inputs.quota(domain, *slots))))
             .collect();
         let at_home = domains.get(inputs.domain).copied().unwrap_or(0);
-        let reached = f64::from(open(inputs.domain)) >= f64::from(at_home) * REACHED_FRACTION;
         let known = self.services.entry(service.to_owned());
-        let known = known.or_insert_with(|| ServiceQuotas { last_reached: now, domains: BTreeMap::new() });
+        let known = known.or_insert_with(|| ServiceQuotas { last_used: now, domains: BTreeMap::new() });
         known.domains = domains;
-        if overloaded || reached {
-            known.last_reached = now;
+        if inputs.are_slots_used() && (inputs.limited || inputs.slots.contains_key(inputs.domain)) {
+            known.last_used = now;
         }
-        if now.saturating_sub(known.last_reached) >= RELEASE_TIME {
+        if now.saturating_sub(known.last_used) >= RELEASE_TIME {
             self.end(now, service, inputs);
         } else if !is_in_force {
             self.changes.push(change(now, service, inputs, now, at_home, true));
@@ -175,9 +204,10 @@
     }
 
     fn end(&mut self, now: Timestamp, service: &str, inputs: &QuotaInputs<'_>) {
+        self.arrivals.remove(service);
         if let Some(ended) = self.services.remove(service) {
             let at_home = ended.domains.get(inputs.domain).copied().unwrap_or(0);
-            self.changes.push(change(now, service, inputs, ended.last_reached, at_home, false));
+            self.changes.push(change(now, service, inputs, ended.last_used, at_home, false));
         }
     }
 
@@ -189,6 +219,7 @@
     /// Removes the services for which `known` returns false.
     pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
         self.services.retain(|name, _| known(name));
+        self.arrivals.retain(|name, _| known(name));
     }
 }
 
@@ -196,10 +227,11 @@
     now: Timestamp,
     service: &str,
     inputs: &QuotaInputs<'_>,
-    last_reached: Timestamp,
+    last_used: Timestamp,
     quota: u32,
     in_force: bool,
 ) -> QuotaChange {
     let slots = inputs.slots.get(inputs.domain).copied().unwrap_or(0);
-    QuotaChange { service: service.to_owned(), in_force, quota, slots, idle: now.saturating_sub(last_reached) }
+    let idle = now.saturating_sub(last_used);
+    QuotaChange { service: service.to_owned(), in_force, quota, slots, idle, own_fraction: inputs.demand.own_fraction }
 }
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -19,6 +19,7 @@
 use rand::rngs::SmallRng;
 
 use hawthornshift_core::Timestamp;
+use hawthornshift_core::direct::capacity_report::recipients;
 use hawthornshift_core::direct::decision::Decision;
 use hawthornshift_core::direct::decision::Outcome;
 use hawthornshift_core::direct::directory::cookie;
@@ -517,6 +518,7 @@
         let instance = self.instances[index].as_mut()?;
         let result = action(instance, now, &mut effects);
         let report = instance.dispatcher.take_report();
+        let capacity = instance.dispatcher.take_capacity_report(now);
         let decisions = instance.dispatcher.take_decisions();
         let group = instance.group.clone();
         self.second_target_syns +=
@@ -528,6 +530,9 @@
             self.report_count += group.len();
             self.send(index, &group, &Frame::LoadReport(report));
         }
+        if let Some((round, report)) = capacity {
+            self.send(index, &recipients(&group, round), &Frame::Capacity(report));
+        }
         for effect in effects {
             self.carry_out(index, effect);
         }
@@ -593,6 +598,9 @@
                         instance.dispatcher.apply_load_report(now, &report, effects);
                     });
                 }
+                FleetEffect::ApplyCapacityReport(report) => {
+                    self.with(index, |instance, now, _| instance.dispatcher.apply_capacity_report(now, &report));
+                }
                 FleetEffect::Changed => {
                     self.with(index, |instance, now, _| {
                         instance.group = instance.fleet.group();
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -45,6 +45,7 @@
 use crate::store_reader;
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::bootstrap::Bootstrap;
+use hawthornshift_core::direct::capacity_report::recipients;
 use hawthornshift_core::direct::dispatcher::Dispatcher;
 use hawthornshift_core::direct::dispatcher::DispatcherConfig;
 use hawthornshift_core::direct::dispatcher::Effect;
@@ -288,6 +289,7 @@
                     self.dispatcher.apply_load_report(now, &report, &mut self.effects);
                     self.execute_effects();
                 }
+                FleetEffect::ApplyCapacityReport(report) => self.dispatcher.apply_capacity_report(now, &report),
                 FleetEffect::Changed => self.fleet_changed(),
             }
         }
@@ -422,6 +424,9 @@
                 self.peers.send(&self.group_addresses, &Frame::LoadReport(part));
             }
         }
+        if let Some((round, report)) = self.dispatcher.take_capacity_report(now) {
+            self.peers.send(&recipients(&self.group_addresses, round), &Frame::Capacity(report));
+        }
         let directory = self.dispatcher.directory();
         let age = self.fleet.watcher_role().age(now);
         let state = StateSummary { revision: directory.revision(), version: directory.version(), age };
@@ -432,7 +437,8 @@
         }
         for change in self.dispatcher.take_quota_changes() {
             info!(self.log, "slot quotas"; "service" => change.service, "in_force" => change.in_force,
-                "quota" => change.quota, "slots" => change.slots, "idle_ms" => millis(change.idle));
+                "quota" => change.quota, "slots" => change.slots, "idle_ms" => millis(change.idle),
+                "own_percent" => format!("{:.1}", change.own_fraction * 100.0));
         }
         for decision in self.dispatcher.take_decisions() {
             self.decision_log.write(now, &decision, state);
