--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -26,6 +26,7 @@
 use self::view_sync::ViewSync;
 use crate::Timestamp;
 use crate::direct::answer_time_report::AnswerTimeReport;
+use crate::direct::capacity_report::CapacityReport;
 use crate::direct::directory_lag::DirectoryLag;
 use crate::direct::directory_lag::MissingRevision;
 use crate::direct::load_report::LoadReport;
@@ -100,6 +101,8 @@
     ApplyLoadReport(LoadReport),
     /// Apply an answer-time report.
     ApplyAnswerTimes(AnswerTimeReport),
+    /// Apply a capacity report.
+    ApplyCapacityReport(CapacityReport),
     /// The set of serving instances changed.
     Changed,
 }
@@ -282,6 +285,7 @@
         let (sender, message) = match frame {
             Frame::LoadReport(report) => return vec![FleetEffect::ApplyLoadReport(report)],
             Frame::AnswerTimes(report) => return vec![FleetEffect::ApplyAnswerTimes(report)],
+            Frame::Capacity(report) => return vec![FleetEffect::ApplyCapacityReport(report)],
             Frame::WithSender { sender, message } => (sender, message),
         };
         if sender.id == self.membership.me().id {
--- a/crates/core/src/direct/message.rs
+++ b/crates/core/src/direct/message.rs
@@ -10,6 +10,7 @@
 use strum::IntoStaticStr;
 
 use crate::direct::answer_time_report::AnswerTimeReport;
+use crate::direct::capacity_report::CapacityReport;
 use crate::direct::load_report::LoadReport;
 use crate::direct::segment::FlowHash;
 use crate::direct::store_entries::Delta;
@@ -38,6 +39,8 @@
     LoadReport(LoadReport),
     /// How long requests took at targets.
     AnswerTimes(AnswerTimeReport),
+    /// A capacity report. Instances of earlier versions count it as malformed.
+    Capacity(CapacityReport),
 }
 
 /// Category of a datagram, as used in metrics.
@@ -55,6 +58,8 @@
     LoadReport,
     /// Answer-time reports.
     AnswerTimes,
+    /// Capacity reports.
+    Capacity,
 }
 
 impl Frame {
@@ -64,6 +69,7 @@
         match self {
             Self::LoadReport(_) => FrameKind::LoadReport,
             Self::AnswerTimes(_) => FrameKind::AnswerTimes,
+            Self::Capacity(_) => FrameKind::Capacity,
             Self::WithSender { message, .. } => match message {
                 Message::Ping(_) | Message::Ack(_) | Message::IndirectPing { .. } | Message::IndirectAck { .. } => {
                     FrameKind::Heartbeat
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -14,9 +14,9 @@
 //! - [`reachability`] checks targets with outstanding answers, so that flows to unreachable ones can be reset.
 //! - [`admission`] decides which flows may wait when no slot is free, and [`pending`] queues them.
 //!   [`concurrency_limit`] limits the load that an instance sends while it is alone, [`adaptive_limit`] the load while
-//!   targets are overloaded. [`slot_quota`] divides the slots among the instances then, and [`fair_share`] among routes
-//!   and callers that compete, by their rates in [`caller_rates`]. [`flows`] records the flows that pass through this
-//!   instance.
+//!   targets are overloaded. [`slot_quota`] divides the slots among the instances then, by the demand that they report
+//!   in [`capacity_report`], and [`fair_share`] among routes and callers that compete, by their rates in
+//!   [`caller_rates`]. [`flows`] records the flows that pass through this instance.
 //! - [`link_budget`] refuses flows of many bytes that a narrow link of this instance could not carry.
 //! - [`readiness`] decides whether callers should be sent to this instance at all.
 //! - [`fleet`] tracks the other instances, [`watch`] selects the one that watches the store, and [`message`] defines
@@ -32,6 +32,7 @@
 pub mod answer_times;
 pub mod bootstrap;
 pub mod caller_rates;
+pub mod capacity_report;
 pub mod concurrency_limit;
 pub mod decision;
 pub mod directory;
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -21,6 +21,7 @@
 
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::answer_time_report::AnswerTimeReport;
+use hawthornshift_core::direct::capacity_report::recipients;
 use hawthornshift_core::direct::decision::Decision;
 use hawthornshift_core::direct::decision::Outcome;
 use hawthornshift_core::direct::directory::cookie;
@@ -667,6 +668,7 @@
         let instance = self.instances[index].as_mut()?;
         let result = action(instance, now, &mut effects);
         let report = instance.dispatcher.take_report();
+        let capacity = instance.dispatcher.take_capacity_report(now);
         let decisions = instance.dispatcher.take_decisions();
         let answer_times = instance.dispatcher.take_answer_times(now);
         let group = instance.group.clone();
@@ -682,6 +684,9 @@
         if let Some(report) = answer_times {
             self.send(index, &group, &Frame::AnswerTimes(report));
         }
+        if let Some((round, report)) = capacity {
+            self.send(index, &recipients(&group, round), &Frame::Capacity(report));
+        }
         for effect in effects {
             self.carry_out(index, effect);
         }
@@ -756,6 +761,9 @@
                 FleetEffect::ApplyAnswerTimes(report) => {
                     self.with(index, |instance, now, _| instance.dispatcher.apply_answer_times(now, &report));
                 }
+                FleetEffect::ApplyCapacityReport(report) => {
+                    self.with(index, |instance, now, _| instance.dispatcher.apply_capacity_report(now, &report));
+                }
                 FleetEffect::Changed => {
                     self.with(index, |instance, now, _| {
                         instance.group = instance.fleet.group();
