Leave the link to small requests before large ones, and repeat a SYN while the link delays packets

Cause: the budget kept a fixed quarter of the link free. When one failure domain asked for six times its usual demand, small requests alone took more than half of the link and admitted uploads the rest; and since no SYN goes to a second target while the link delays packets, a SYN that the link had dropped was not sent again before its caller's copy 200 ms later. Change: large requests get what the measured rate of the others leaves of nine tenths of the link, between 5% and 75% of it. While the link delays packets, a SYN without a completed handshake is sent again to the same target.

--- a/crates/core/src/direct/dispatcher/timers.rs
+++ b/crates/core/src/direct/dispatcher/timers.rs
@@ -5,6 +5,7 @@
 use super::Dispatcher;
 use super::Effect;
 use super::MISSED_PACKETS_WINDOW;
+use super::Packet;
 use crate::Timestamp;
 use crate::direct::decision::Decision;
 use crate::direct::decision::Outcome;
@@ -183,6 +184,9 @@
             return;
         }
         if self.link.is_congested(now) && now.saturating_sub(handshake.sent) < ATTEMPT_DURATION {
+            // The link may have dropped the SYN, so it is sent again, to the same target.
+            let (target, packet) = (flow.target, handshake.packet.clone());
+            self.forward(target, 0, Packet::Buffered(packet), effects);
             let wait = self.handshake_timeout.limit() + self.link.handshake_delay(now);
             self.flows.schedule_handshake_timeout(id.flow_hash(), now + wait);
             return;
--- a/crates/core/src/direct/link_budget.rs
+++ b/crates/core/src/direct/link_budget.rs
@@ -31,6 +31,7 @@
 pub const WIDE_LINK_MBPS: f64 = 1_000.0;
 /// Bytes of a packet besides its payload: the header of the platform (36), UDP (8) and IPv4 (20).
 pub const OVERHEAD_BYTES: usize = 64;
+const OVERHEAD: f64 = 64.0;
 /// Bytes of payload that a caller may have in flight: 16 packets of 1,200 bytes.
 const WINDOW_BYTES: f64 = 16.0 * 1_200.0;
 /// Bytes on the link for each byte of a caller's payload. It is received and sent again, with the packet overhead.
@@ -41,6 +42,12 @@
 const MAX_WINDOWS: f64 = 64.0;
 /// Fraction of the link that is kept free for control traffic and small requests.
 const RESERVED_FRACTION: f64 = 0.25;
+/// Fraction of the link that is kept free beside the measured traffic of other routes, for its variation.
+const HEADROOM_FRACTION: f64 = 0.1;
+/// Minimum fraction of the link for heavy routes, so that other routes cannot stop them altogether.
+const MIN_HEAVY_FRACTION: f64 = 0.05;
+/// Weight of a new interval in the rate of the traffic that is not of heavy routes.
+const LIGHT_RATE_WEIGHT: f64 = 0.3;
 /// Fraction of the latency objective within which the bytes still to come must pass. The rest is for the handshake,
 /// the work and the answer.
 const OBJECTIVE_FRACTION: f64 = 0.5;
@@ -186,6 +193,10 @@
     heavy: FixedHashSet<FlowHash>,
     interval_start: Timestamp,
     interval_bytes: f64,
+    /// The part of `interval_bytes` that belongs to heavy routes.
+    interval_heavy_bytes: f64,
+    /// Smoothed rate of the other traffic, in bytes per second.
+    light_rate: f64,
     /// Handshakes that have not been evaluated yet.
     handshakes: Option<Handshakes>,
     /// Bytes per second in the last completed interval.
@@ -219,6 +230,8 @@
             heavy: FixedHashSet::default(),
             interval_start: Timestamp::ZERO,
             interval_bytes: 0.0,
+            interval_heavy_bytes: 0.0,
+            light_rate: 0.0,
             handshakes: None,
             used: 0.0,
             baseline: None,
@@ -244,6 +257,11 @@
             return;
         }
         self.count_bytes(now, OVERHEAD_BYTES + usize::from(segment.payload_bytes));
+        if self.is_heavy(segment.flow.service) {
+            let payload = f64::from(segment.payload_bytes);
+            // The packet is received and sent again.
+            self.interval_heavy_bytes += 2.0 * (payload + OVERHEAD);
+        }
         match segment.kind {
             SegmentKind::Ack if segment.payload_bytes > 0 => self.received_data(now, segment),
             SegmentKind::Syn { .. } | SegmentKind::Ack => {}
@@ -322,7 +340,7 @@
         };
         self.close_interval(now);
         let open = self.outstanding(now);
-        let usable = self.capacity * (1.0 - RESERVED_FRACTION) / LINK_BYTES_PER_BYTE;
+        let usable = self.heavy_capacity() / LINK_BYTES_PER_BYTE;
         let queue = (open.in_flight + WINDOW_BYTES) / usable;
         let transfer = (open.remaining + bytes.expected()) / usable;
         let fits =
@@ -343,6 +361,17 @@
         admitted
     }
 
+    /// Returns whether a route's requests exceed what one window carries.
+    fn is_heavy(&self, route: SocketAddrV4) -> bool {
+        self.routes.get(&route).is_some_and(RouteBytes::is_heavy)
+    }
+
+    /// Returns the bytes per second that heavy routes may use: what the other traffic leaves.
+    fn heavy_capacity(&self) -> f64 {
+        let left = self.capacity * (1.0 - HEADROOM_FRACTION) - self.light_rate;
+        left.clamp(self.capacity * MIN_HEAVY_FRACTION, self.capacity * (1.0 - RESERVED_FRACTION))
+    }
+
     /// Returns whether packets are probably delayed by this instance's own link.
     #[must_use]
     pub fn is_congested(&self, now: Timestamp) -> bool {
@@ -440,6 +469,8 @@
             return;
         }
         self.used = self.interval_bytes / elapsed.as_secs_f64();
+        let light = (self.interval_bytes - self.interval_heavy_bytes).max(0.0) / elapsed.as_secs_f64();
+        self.light_rate += (light - self.light_rate) * LIGHT_RATE_WEIGHT;
         let fastest = self.handshakes.take_if(|all| all.count >= MIN_HANDSHAKES).map(|all| all.fastest);
         if let Some(min) = fastest
             && (min <= SHORT_HANDSHAKE || self.used < self.capacity * CALM_FRACTION)
@@ -449,6 +480,7 @@
         let delay = fastest.zip(self.baseline).map(|(min, baseline)| min.saturating_sub(baseline));
         self.interval_start = now;
         self.interval_bytes = 0.0;
+        self.interval_heavy_bytes = 0.0;
         if let Some(delay) = delay {
             self.delay = (delay, now);
             self.correct_capacity(delay);
