Search for free slots only when one may have become free

Cause: while flows wait, each packet of a caller started a search for free slots over all targets, several since routes have shares. Change: a search that left flows waiting is not repeated for 5 ms unless a request has ended, the directory has changed or a flow found a slot.

--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -16,6 +16,7 @@
 
 use hdrhistogram::Histogram;
 
+use self::syn::FullSearch;
 use crate::Timestamp;
 use crate::direct::adaptive_limit::AdaptiveLimits;
 use crate::direct::admission::ServiceRates;
@@ -165,6 +166,8 @@
     stale_until: Timestamp,
     /// SYNs buffered before the directory was synced, or while it may be stale.
     early_syns: Vec<(Timestamp, Segment, Box<[u8]>)>,
+    /// The last search for free slots, if it left flows waiting.
+    full_search: Option<FullSearch>,
     instances: Vec<InstanceId>,
     group: Vec<InstanceId>,
     all_domains_reported: bool,
@@ -231,6 +234,7 @@
             stale_until: Timestamp::ZERO,
             next_review: Timestamp::ZERO,
             early_syns: Vec::new(),
+            full_search: None,
             all_domains_reported: true,
             packets_missed_until: None,
             next_sweep: Timestamp::ZERO,
@@ -380,6 +384,7 @@
             self.slot_quotas.retain(known);
             self.target_speeds.retain(directory);
             self.dispatch_early_syns(now, effects);
+            self.full_search = None;
             self.dispatch(now, effects);
         }
         changed
--- a/crates/core/src/direct/dispatcher/sharing.rs
+++ b/crates/core/src/direct/dispatcher/sharing.rs
@@ -22,19 +22,29 @@
         if !self.fair_shares.is_shared(service) || !self.is_enabled(Mechanism::FairShare) {
             return None;
         }
-        if !self.adaptive_limits.is_limited(service) && !self.pending.iter().any(|it| it.service == service) {
+        if !self.is_busy(service) {
             return None;
         }
         let waiting = self.pending.iter().filter(|pending| pending.service == service);
         let waiting = waiting.map(|pending| (pending.class(), pending.is_late(now)));
-        let placement = self.placement();
-        // Where the load of other domains is not reported, most flows stay in the instance's own domain.
-        let own = placement.usage(now, service, Some(&self.config.domain)).share;
-        let capacity = placement.usage(now, service, None).share.max(own);
+        let capacity = self.fair_shares.capacity(service).unwrap_or_else(|| self.usable_slots(now, service));
         let is_open = |flow| self.open_requests.is_local(flow);
         self.fair_shares.service_use(service, capacity, is_open, waiting, asking)
     }
 
+    /// Returns whether flows wait for a service or a limit is in force for it.
+    fn is_busy(&self, service: &str) -> bool {
+        self.adaptive_limits.is_limited(service) || self.pending.iter().any(|pending| pending.service == service)
+    }
+
+    /// Returns the slots of a service that this instance may use. Where the load of other domains is not reported, most
+    /// flows stay in the instance's own domain.
+    fn usable_slots(&self, now: Timestamp, service: &str) -> f64 {
+        let placement = self.placement();
+        let own = placement.usage(now, service, Some(&self.config.domain)).share;
+        placement.usage(now, service, None).share.max(own)
+    }
+
     /// Returns the standing of a flow that is to be placed. A late flow has no guarantee.
     pub(super) fn standing(&self, now: Timestamp, pending: &PendingFlow) -> Standing {
         let (class, service) = (pending.class(), &pending.service);
@@ -126,6 +136,8 @@
         self.fair_shares.review(now, |flow| open_requests.is_local(flow));
         let services: Vec<String> = self.fair_shares.services().map(str::to_owned).collect();
         for service in services {
+            let capacity = self.is_busy(&service).then(|| self.usable_slots(now, &service));
+            self.fair_shares.set_capacity(&service, capacity);
             let service_use = self.service_use(now, &service, None);
             self.fair_shares.record_contention(now, &service, service_use);
         }
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -43,6 +43,26 @@
 /// Minimum capacity of an instance's pending queue, in flows.
 const MIN_PENDING: usize = 16;
 
+/// Time for which a search for free slots without a result is not repeated while no request ends. Suspicions of targets
+/// and waiting flows change in the meantime.
+const SEARCH_VALIDITY: Duration = Duration::from_millis(5);
+
+/// A search that left flows waiting, since no target had room.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FullSearch {
+    at: Timestamp,
+    /// [`OpenRequests::released`](crate::direct::open_requests::OpenRequests::released) at that time.
+    released: u64,
+}
+
+impl FullSearch {
+    /// Returns whether another search would have the same result. Under overload, each packet of a caller would
+    /// otherwise cause one.
+    fn is_valid(self, now: Timestamp, released: u64) -> bool {
+        self.released == released && now.saturating_sub(self.at) < SEARCH_VALIDITY
+    }
+}
+
 impl Dispatcher {
     /// Handles a SYN.
     ///
@@ -95,7 +115,12 @@
             Choice::Full if self.cannot_be_served(now, &pending) => {
                 self.reject_pending(now, &pending, Outcome::ResetFull, effects);
             }
-            Choice::Target(_) | Choice::Full => self.enqueue(now, pending, effects),
+            Choice::Target(_) => {
+                // Others of the service wait although there is a slot.
+                self.full_search = None;
+                self.enqueue(now, pending, effects);
+            }
+            Choice::Full => self.enqueue(now, pending, effects),
         }
     }
 
@@ -404,6 +429,11 @@
             return;
         }
         self.requeue_late(now, effects);
+        let released = self.open_requests.released();
+        if self.full_search.is_some_and(|search| search.is_valid(now, released)) {
+            return;
+        }
+        self.full_search = None;
         // A service without a free slot for flows in time has none for late flows either.
         let mut full = self.dispatch_shared(now, effects);
         let mut index = 0;
@@ -424,5 +454,8 @@
                 }
             }
         }
+        if !self.pending.is_empty() {
+            self.full_search = Some(FullSearch { at: now, released: self.open_requests.released() });
+        }
     }
 }
--- a/crates/core/src/direct/fair_share.rs
+++ b/crates/core/src/direct/fair_share.rs
@@ -288,6 +288,8 @@
     open: FixedHashMap<FlowHash, FlowClass>,
     /// When contention was last seen, while it has not been reported as ended.
     contended_at: Option<Timestamp>,
+    /// Slots that this instance may use, as of the last review.
+    capacity: Option<f64>,
 }
 
 /// Routes and callers that share a service, and the open requests of each class.
@@ -370,6 +372,20 @@
         self.callers.expire(now);
     }
 
+    /// Sets the slots of a service that this instance may use, or `None` while neither a flow waits nor a limit is in
+    /// force.
+    pub fn set_capacity(&mut self, service: &str, capacity: Option<f64>) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.capacity = capacity;
+        }
+    }
+
+    /// Returns the slots of a service that this instance may use, as of the last review.
+    #[must_use]
+    pub fn capacity(&self, service: &str) -> Option<f64> {
+        self.services.get(service).and_then(|service| service.capacity)
+    }
+
     /// Returns the use of a service by its classes, or `None` if they do not compete. `waiting` are the waiting flows of
     /// the service as class and whether the flow is late. The demand of `asking` is at least one slot more than it has
     /// open.
--- a/crates/core/src/direct/open_requests.rs
+++ b/crates/core/src/direct/open_requests.rs
@@ -86,6 +86,8 @@
 #[derive(Clone, Debug)]
 pub struct OpenRequests {
     flows: FixedHashMap<FlowHash, OpenRequest>,
+    /// Number of times that a target had one request fewer than before.
+    released: u64,
     counts: FixedHashMap<TargetId, u32>,
     /// The part of `counts` whose packets pass through this instance.
     local_counts: FixedHashMap<TargetId, u32>,
@@ -110,6 +112,7 @@
     fn default() -> Self {
         Self {
             flows: FixedHashMap::default(),
+            released: 0,
             counts: FixedHashMap::default(),
             local_counts: FixedHashMap::default(),
             mean_times: FixedHashMap::default(),
@@ -127,6 +130,12 @@
         self.counts.get(&target).copied().unwrap_or(0)
     }
 
+    /// Returns how many times a target had one request fewer than before, which may have freed a slot.
+    #[must_use]
+    pub fn released(&self) -> u64 {
+        self.released
+    }
+
     /// Returns the number of requests that all targets are assumed to have open.
     #[must_use]
     pub fn total(&self) -> usize {
@@ -292,6 +301,7 @@
     }
 
     fn decrease_counts(&mut self, open: OpenRequest) {
+        self.released += 1;
         decrease(&mut self.counts, open.target);
         if open.is_local {
             decrease(&mut self.local_counts, open.target);
