Let an overloaded failure domain use the free slots of others

Cause: quotas restricted placement in every other failure domain as soon as any domain was overloaded. Ruled out: a domain counts as overloaded only by the answers that an instance sees from there itself. Change: two of the instances of a domain whose slots are used, drawn anew every 300 ms, report that to the other domains (CapacityReport::Overloaded, some tens of bytes, valid for 1 s). Elsewhere a domain has a quota only while such a report is valid or its answers are slow. Measured: tests of quotas, overload and shares pass (26).

--- a/crates/core/src/direct/capacity_report.rs
+++ b/crates/core/src/direct/capacity_report.rs
@@ -1,4 +1,5 @@
-//! Capacity reports: the instances of a group share their demand for overloaded services.
+//! Capacity reports: the instances of a group share their demand for overloaded services, and some of them report the
+//! overload to the other failure domains.
 //!
 //! The expected load: a service is overloaded, and callers concentrate on some instances of a failure domain. Each
 //! instance reports its demand a few times a second while [`slot_quota`](crate::direct::slot_quota) divides the slots,
@@ -14,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Timestamp;
+use crate::rendezvous;
 use hawthornshift_model::InstanceId;
 
 /// Interval between two reports of an instance.
@@ -26,14 +28,30 @@
 /// Maximum number of services in one report.
 const MAX_SERVICES: usize = 32;
 
+/// Number of members of a group that report the overload to other failure domains in each [`REPORT_PERIOD`]. Two of them
+/// make up for a lost report.
+const OVERLOAD_REPORTERS: usize = 2;
+
 /// Hash of a service's name.
 pub type ServiceKey = u32;
+/// Hash of a failure domain's name.
+pub type DomainKey = u32;
 
 /// Returns the key that identifies a service in capacity reports.
 #[must_use]
 pub fn service_key(service: &str) -> ServiceKey {
-    let [a, b, c, d, ..] = xxh3_64(service.as_bytes()).to_le_bytes();
-    ServiceKey::from_le_bytes([a, b, c, d])
+    name_key(service)
+}
+
+/// Returns the key that identifies a failure domain in capacity reports.
+#[must_use]
+pub fn domain_key(domain: &str) -> DomainKey {
+    name_key(domain)
+}
+
+fn name_key(name: &str) -> u32 {
+    let [a, b, c, d, ..] = xxh3_64(name.as_bytes()).to_le_bytes();
+    u32::from_le_bytes([a, b, c, d])
 }
 
 /// A message about the capacity of overloaded services. New kinds are added as last variants.
@@ -47,6 +65,13 @@
         /// Its demand for each overloaded service.
         services: Vec<ServiceDemand>,
     },
+    /// The services of which all slots in a failure domain are used, for the instances of the other domains.
+    Overloaded {
+        /// The failure domain.
+        domain: DomainKey,
+        /// The services.
+        services: Vec<ServiceKey>,
+    },
 }
 
 /// Demand of an instance for an overloaded service.
@@ -122,6 +147,36 @@
     }
 }
 
+/// Failure domains whose slots of a service are all used, by the latest reports from them.
+#[derive(Clone, Debug, Default)]
+pub struct OverloadedDomains {
+    reported_at: BTreeMap<(ServiceKey, DomainKey), Timestamp>,
+}
+
+impl OverloadedDomains {
+    /// Records the report of an instance in another failure domain.
+    pub fn record(&mut self, now: Timestamp, domain: DomainKey, services: &[ServiceKey]) {
+        self.reported_at.retain(|_, at| now.saturating_sub(*at) < MAX_AGE);
+        for service in services.iter().take(MAX_SERVICES) {
+            self.reported_at.insert((*service, domain), now);
+        }
+    }
+
+    /// Returns whether a report of the last [`MAX_AGE`] says that the slots of a service in a failure domain are used.
+    #[must_use]
+    pub fn contains(&self, now: Timestamp, service: &str, domain: &str) -> bool {
+        let reported_at = self.reported_at.get(&(service_key(service), domain_key(domain)));
+        reported_at.is_some_and(|at| now.saturating_sub(*at) < MAX_AGE)
+    }
+}
+
+/// Returns whether an instance is one of those that report an overload to other failure domains in this round.
+#[must_use]
+pub fn reports_overload(me: InstanceId, group: &[InstanceId], round: usize) -> bool {
+    let score = |id: InstanceId| rendezvous::score(round as u64, u64::from(id));
+    group.iter().filter(|id| score(**id) > score(me)).count() < OVERLOAD_REPORTERS
+}
+
 /// Returns the members of a group that the report with this number is sent to.
 #[must_use]
 pub fn recipients(group: &[SocketAddr], round: usize) -> Vec<SocketAddr> {
--- a/crates/core/src/direct/dispatcher/quotas.rs
+++ b/crates/core/src/direct/dispatcher/quotas.rs
@@ -6,8 +6,11 @@
 use crate::Timestamp;
 use crate::direct::capacity_report::CapacityReport;
 use crate::direct::capacity_report::ServiceDemand;
+use crate::direct::capacity_report::domain_key;
+use crate::direct::capacity_report::reports_overload;
 use crate::direct::capacity_report::service_key;
 use crate::direct::mechanisms::Mechanism;
+use crate::direct::slot_quota::OVERLOAD_HOLD;
 use crate::direct::slot_quota::QuotaChange;
 use crate::direct::slot_quota::QuotaInputs;
 use crate::direct::slot_quota::SlotQuotas;
@@ -32,11 +35,29 @@
         Some((round, CapacityReport::Demand { sender: self.config.id, services }))
     }
 
+    /// Returns the report of overloaded services to send to the other failure domains with the capacity report of this
+    /// number, if this instance is one of the group's reporters in this round.
+    #[must_use]
+    pub fn overload_report(&self, round: usize) -> Option<CapacityReport> {
+        let services: Vec<_> = self.slot_quotas.in_force().map(|(service, _)| service_key(service)).collect();
+        let reports = !services.is_empty() && reports_overload(self.config.id, &self.group, round);
+        reports.then(|| CapacityReport::Overloaded { domain: domain_key(&self.config.domain), services })
+    }
+
     /// Applies a peer's capacity report.
     pub fn apply_capacity_report(&mut self, now: Timestamp, report: &CapacityReport) {
-        let CapacityReport::Demand { sender, services } = report;
-        if self.is_enabled(Mechanism::SlotQuota) && *sender != self.config.id && self.group.contains(sender) {
-            self.slot_quotas.demands.record(now, *sender, services);
+        if !self.is_enabled(Mechanism::SlotQuota) {
+            return;
+        }
+        match report {
+            CapacityReport::Demand { sender, services } => {
+                if *sender != self.config.id && self.group.contains(sender) {
+                    self.slot_quotas.demands.record(now, *sender, services);
+                }
+            }
+            CapacityReport::Overloaded { domain, services } => {
+                self.slot_quotas.overloaded_domains.record(now, *domain, services);
+            }
         }
     }
 
@@ -72,12 +93,19 @@
         for target in self.directory.candidates(now, service) {
             *slots.entry(target.spec.failure_domain.as_str()).or_insert(0) += target.spec.slots.max(1);
         }
+        let is_overloaded = |domain: &str| {
+            self.slot_quotas.overloaded_domains.contains(now, service, domain)
+                || self.adaptive_limits.was_limited(now, service, domain, OVERLOAD_HOLD)
+        };
+        let others = slots.keys().copied().filter(|domain| *domain != self.config.domain);
+        let free_domains = others.filter(|domain| !is_overloaded(domain)).collect();
         let inputs = QuotaInputs {
             me: self.config.id,
             domain: &self.config.domain,
             slots,
             demand,
             limited: self.adaptive_limits.is_limited(service),
+            free_domains,
             group: self.group.len(),
             instances: self.instances.len(),
             all_domains_reported: self.all_domains_reported,
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -232,6 +232,17 @@
         alive.filter(|member| one_group || member.failure_domain == *domain).map(|member| member.control).collect()
     }
 
+    /// Returns the addresses of the instances in other failure domains; none if the whole fleet is one group.
+    #[must_use]
+    pub fn other_domains(&self) -> Vec<SocketAddr> {
+        if self.is_one_group() {
+            return Vec::new();
+        }
+        let domain = &self.membership.me().failure_domain;
+        let alive = self.membership.members().filter(|member| member.state.is_reachable());
+        alive.filter(|member| member.failure_domain != *domain).map(|member| member.control).collect()
+    }
+
     /// Returns the addresses of peers that know the store's contents.
     #[must_use]
     pub fn up_to_date_peers(&self) -> Vec<SocketAddr> {
--- a/crates/core/src/direct/slot_quota.rs
+++ b/crates/core/src/direct/slot_quota.rs
@@ -23,16 +23,19 @@
 use crate::Timestamp;
 use crate::direct::capacity_report::GroupDemand;
 use crate::direct::capacity_report::GroupDemands;
+use crate::direct::capacity_report::OverloadedDomains;
 use hawthornshift_model::InstanceId;
 
 /// Ratio of the open requests that an instance may have to the slots that it owns.
 ///
 /// A request counts as open during its handshake and until its caller has acknowledged the answer, and instances choose
-/// targets without knowing all requests of the others. In a replay with 65 instances and requests of 40 ms, 1.25 left 30%
-/// of the slots idle and 2.0 left 3%. With requests of 24 ms, 2.0 served fewer than without limits, and 2.4 more.
+/// targets without knowing all requests of the others. With as many open requests as slots, many slots would be idle.
 const OPEN_PER_SLOT: f64 = 2.4;
 /// Time with fewer open requests than slots after which the quotas of a service are removed.
 const RELEASE_TIME: Duration = Duration::from_secs(1);
+/// Time after the last sign of overload for which another failure domain counts as overloaded. Its answers become quick
+/// as soon as the quota takes effect.
+pub const OVERLOAD_HOLD: Duration = Duration::from_secs(2);
 /// Smallest demand with which an instance counts, as a fraction of the average. An instance without arrivals would
 /// otherwise have no quota for the first of them.
 const MIN_DEMAND: f64 = 0.2;
@@ -58,6 +61,8 @@
     pub demand: GroupDemand,
     /// Whether an adaptive limit of the service is in force.
     pub limited: bool,
+    /// Other failure domains whose targets are not known to be overloaded.
+    pub free_domains: Vec<&'a str>,
     /// Number of instances in the report group, including this one.
     pub group: usize,
     /// Number of all serving instances, including this one.
@@ -143,14 +148,16 @@
     arrivals: BTreeMap<String, f64>,
     /// Demand of the group's other members.
     pub demands: GroupDemands,
+    /// Other failure domains that are overloaded, by their own reports.
+    pub overloaded_domains: OverloadedDomains,
 }
 
 impl SlotQuotas {
     /// Returns the number of requests that this instance may have open with a service's targets in a failure domain,
-    /// or `None` while no quota is in force.
+    /// or `None` while no quota is in force there.
     #[must_use]
     pub fn quota(&self, service: &str, domain: &str) -> Option<u32> {
-        self.services.get(service).map(|service| service.domains.get(domain).copied().unwrap_or(0))
+        self.services.get(service)?.domains.get(domain).copied()
     }
 
     /// Returns whether the quotas of a service are in force.
@@ -187,6 +194,7 @@
         let domains: BTreeMap<String, u32> = inputs
             .slots
             .iter()
+            .filter(|(domain, _)| !inputs.free_domains.contains(domain))
             .map(|(domain, slots)| ((*domain).to_owned(), inputs.round(now, domain, inputs.quota(domain, *slots))))
             .collect();
         let at_home = domains.get(inputs.domain).copied().unwrap_or(0);
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -669,6 +669,8 @@
         let result = action(instance, now, &mut effects);
         let report = instance.dispatcher.take_report();
         let capacity = instance.dispatcher.take_capacity_report(now);
+        let overload = capacity.as_ref().and_then(|(round, _)| instance.dispatcher.overload_report(*round));
+        let overload = overload.map(|report| (instance.fleet.other_domains(), report));
         let decisions = instance.dispatcher.take_decisions();
         let answer_times = instance.dispatcher.take_answer_times(now);
         let group = instance.group.clone();
@@ -687,6 +689,9 @@
         if let Some((round, report)) = capacity {
             self.send(index, &recipients(&group, round), &Frame::Capacity(report));
         }
+        if let Some((others, report)) = overload {
+            self.send(index, &others, &Frame::Capacity(report));
+        }
         for effect in effects {
             self.carry_out(index, effect);
         }
--- a/crates/core/tests/direct/slot_quota.rs
+++ b/crates/core/tests/direct/slot_quota.rs
@@ -80,6 +80,7 @@
         slots: ["domain-0", "domain-1", "domain-2", "domain-3"].map(|domain| (domain, 60)).into(),
         demand: demand(100.0),
         limited: true,
+        free_domains: Vec::new(),
         group: 16,
         instances: 64,
         all_domains_reported: false,
@@ -131,6 +132,16 @@
     assert_eq!(quotas.quota(SERVICE, "domain-0"), None);
 }
 
+/// Guards against an overloaded failure domain that rejects its callers while others have free slots.
+#[test]
+fn a_domain_that_is_not_overloaded_has_no_quota_elsewhere() {
+    let mut quotas = SlotQuotas::default();
+    quotas.review(secs(1), SERVICE, &QuotaInputs { free_domains: vec!["domain-1"], ..inputs(1) });
+    assert!(quotas.quota(SERVICE, "domain-0").is_some_and(|quota| quota > 0));
+    assert_eq!(quotas.quota(SERVICE, "domain-1"), None);
+    assert!(quotas.quota(SERVICE, "domain-2").is_some());
+}
+
 /// Guards against a quota that does not follow the demand, and against a member that died or froze and keeps its share.
 #[test]
 fn stale_and_unknown_reports_count_with_the_average() {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -438,6 +438,9 @@
         self.log_speed_changes();
         if let Some((round, report)) = self.dispatcher.take_capacity_report(now) {
             self.peers.send(&recipients(&self.group_addresses, round), &Frame::Capacity(report));
+            if let Some(report) = self.dispatcher.overload_report(round) {
+                self.peers.send(&self.fleet.other_domains(), &Frame::Capacity(report));
+            }
         }
         let directory = self.dispatcher.directory();
         let age = self.fleet.watcher_role().age(now);
