Reword comments that a newcomer stumbled on, and two omissions of merges

Changed: comments that told how a figure was found, vague or stale ones, two names, links of public pages to private items. Two faults of merges: a SYN sent to a second target forgot that its caller is heavy, and a target that is reachable again did not end the search pause for waiting flows.

--- a/crates/core/src/direct/adaptive_limit.rs
+++ b/crates/core/src/direct/adaptive_limit.rs
@@ -142,7 +142,7 @@
         self.services.get(service)?.get(domain)?.size
     }
 
-    /// Removes the limits whose targets have answered nothing for [`LIMIT_VALIDITY`].
+    /// Removes the limits whose targets have answered nothing for `LIMIT_VALIDITY`.
     pub fn expire(&mut self, now: Timestamp) {
         for limit in self.services.values_mut().flat_map(BTreeMap::values_mut) {
             if now.saturating_sub(limit.last_answer) >= LIMIT_VALIDITY {
--- a/crates/core/src/direct/caller_rates.rs
+++ b/crates/core/src/direct/caller_rates.rs
@@ -1,4 +1,4 @@
-//! Arrival rates of new flows by caller address, to tell callers that ask for many times more than others.
+//! Arrival rates of new flows by caller address, to detect callers that ask for many times more than others.
 //!
 //! The expected load: one caller of a route sends fifty times as many requests as each of the others, and the targets
 //! are overloaded by that. Without a distinction the flows of all callers are rejected in the same proportion.
--- a/crates/core/src/direct/directory_lag.rs
+++ b/crates/core/src/direct/directory_lag.rs
@@ -25,8 +25,8 @@
 /// Part of the drain bound for what is not observed here: the watcher learns of the change and two announcements may be
 /// lost before this instance hears of it (0.6 s), and a SYN waits in a full link and for a timer (0.6 s).
 const UNOBSERVED_DELAY: Duration = Duration::from_millis(1_200);
-/// Time for which a peer's report of its revision counts. An instance receives about 8 heartbeats a second, so it is
-/// some 24 reports in a large fleet. Reports from before a partition must not count for long after it.
+/// Time for which a peer's report of its revision counts: long enough for a sample of a large fleet. Reports from before
+/// a partition must not count for long after it.
 const REPORT_VALIDITY: Duration = Duration::from_secs(3);
 /// Resolution of the times at which revisions became known. Revisions that become known within it share an entry.
 const RESOLUTION: Duration = Duration::from_millis(100);
@@ -37,6 +37,7 @@
 /// Interval between the first two pulls after those. It doubles up to [`MAX_PULL_INTERVAL`], since pulls load the link
 /// that may be the cause.
 const PULL_INTERVAL: Duration = Duration::from_millis(400);
+/// Longest interval between two pulls.
 const MAX_PULL_INTERVAL: Duration = Duration::from_millis(800);
 /// Time for which most peers must have had a revision that this instance lacks. It exceeds [`MAX_PULL_INTERVAL`]: when a
 /// whole fleet catches up, the last instances get the revision by their next pull and must not stop placing before it.
--- a/crates/core/src/direct/dispatcher/established.rs
+++ b/crates/core/src/direct/dispatcher/established.rs
@@ -170,7 +170,7 @@
             self.handshake_timeout.sample(took);
             record(&mut self.handshake_latencies, took);
         }
-        // A SYN that was sent to several targets was answered by the first one if another than the last answers.
+        // If an earlier target than the last one answers, the handshake began with the first SYN.
         let since = if moved { self.flows.get(&flow).map_or(sent, |flow| flow.first_seen) } else { sent };
         self.link.handshake(now, now.saturating_sub(since));
         if moved {
--- a/crates/core/src/direct/dispatcher/resetting.rs
+++ b/crates/core/src/direct/dispatcher/resetting.rs
@@ -65,7 +65,7 @@
             Finding::OutOfReach => self.mark_out_of_reach(now, target, effects),
             // Peers need some time to confirm the failure; this instance checks again meanwhile.
             Finding::Failed => self.check_targets(now, effects),
-            // Flows that were forwarded while the finding was too old to act on.
+            // Requests may have been forwarded while the earlier failure was too old to justify a reset.
             Finding::StillOutOfReach => self.reset_unanswered(now, target, effects),
             Finding::AliveAgain => self.report_alive_again(now, target, effects),
             Finding::Alive | Finding::Inconclusive => {}
@@ -76,6 +76,7 @@
     /// or not. Those that await nothing of the target would otherwise keep their own findings until their next check.
     fn report_alive_again(&mut self, now: Timestamp, target: TargetId, effects: &mut Vec<Effect>) {
         if self.is_enabled(Mechanism::FindingAge) {
+            self.full_search = None;
             self.record_handshake(now, target);
             if !self.report.alive.contains(&cookie(target)) {
                 self.report.alive.push(cookie(target));
--- a/crates/core/src/direct/dispatcher/sharing.rs
+++ b/crates/core/src/direct/dispatcher/sharing.rs
@@ -1,5 +1,5 @@
-//! Shares of competing routes and callers: the dispatcher's inputs for [`fair_share`](crate::direct::fair_share), and the order in
-//! which their waiting flows are placed.
+//! Shares of competing routes and callers: the dispatcher's inputs for [`fair_share`](crate::direct::fair_share), and the
+//! order in which their waiting flows are placed.
 
 use super::Dispatcher;
 use super::Effect;
@@ -16,8 +16,8 @@
 use hawthornshift_model::TargetId;
 
 impl Dispatcher {
-    /// Returns the use of a service by its competing classes, with a demand of `asking` for one slot more than it has open. `None` if none
-    /// compete, or if no flow waits and no limit is in force.
+    /// Returns the use of a service by its competing classes, or `None` if none compete, or no flow waits and no limit is
+    /// in force. The demand of `asking` is at least one more than its open requests.
     pub(super) fn service_use(&self, now: Timestamp, service: &str, asking: Option<FlowClass>) -> Option<ServiceUse> {
         if !self.fair_shares.is_shared(service) || !self.is_enabled(Mechanism::FairShare) {
             return None;
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -399,6 +399,7 @@
             PendingFlow::new(segment, &handshake.packet, flow.first_seen, 0, flow.objective, Duration::MAX);
         pending.service = service;
         pending.tried = tried;
+        pending.heavy = self.fair_shares.class_of(id.service, *id.caller.ip()).heavy;
         // The flow is not reset if every other target is full, since the first one may still answer.
         let Choice::Target(next) = self.choose(now, &pending, Limit::Queue) else { return false };
         self.place(now, pending, next, Outcome::PlacedAgain, effects);
--- a/crates/core/src/direct/fair_share.rs
+++ b/crates/core/src/direct/fair_share.rs
@@ -30,9 +30,8 @@
 const WEIGHT_RATIO: f64 = 0.5;
 /// Priority from which weights no longer decrease, so that no share vanishes.
 const LOWEST_WEIGHTED_PRIORITY: u8 = 8;
-/// Standard deviations of a Poisson count by which a class may exceed its share and still count as within it. A class
-/// that needs its share on average exceeds it half of the time at one of many instances. With 1 instead of 2, callers
-/// that asked for 0.7 of the capacity still lost some flows in the replay.
+/// Standard deviations of a Poisson count by which a class may exceed its share and still count as within it. The
+/// demand of a class that needs its share on average exceeds it at any time at about half of the instances.
 const SHARE_DEVIATIONS: f64 = 2.0;
 /// Open requests that a route's guarantee covers at least. A share of less than one slot could otherwise never be
 /// used, which occurs with more instances than slots.
@@ -53,7 +52,7 @@
     pub heavy: bool,
 }
 
-/// Standing of a flow's class in the division of a service's slots.
+/// Whether a flow's class is within its share of a service's slots, which decides how it is placed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Standing {
     /// The division does not affect the flow.
@@ -433,7 +432,7 @@
         }
     }
 
-    /// Returns whether a service was contended within [`CONTENTION_HOLD`].
+    /// Returns whether a service was contended within `CONTENTION_HOLD`.
     #[must_use]
     pub fn is_contended(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|service| service.contended_at.is_some())
--- a/crates/core/src/direct/link_budget.rs
+++ b/crates/core/src/direct/link_budget.rs
@@ -21,6 +21,7 @@
 use strum::IntoStaticStr;
 
 use crate::Timestamp;
+use crate::direct::pending::ATTEMPT_DURATION;
 use crate::direct::segment::FlowHash;
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
@@ -31,14 +32,15 @@
 pub const WIDE_LINK_MBPS: f64 = 1_000.0;
 /// Bytes of a packet besides its payload: the header of the platform (36), UDP (8) and IPv4 (20).
 pub const OVERHEAD_BYTES: usize = 64;
+/// [`OVERHEAD_BYTES`] for rates.
 const OVERHEAD: f64 = 64.0;
 /// Bytes of payload that a caller may have in flight: 16 packets of 1,200 bytes.
 const WINDOW_BYTES: f64 = 16.0 * 1_200.0;
 /// Bytes on the link for each byte of a caller's payload. It is received and sent again, with the packet overhead.
-const LINK_BYTES_PER_BYTE: f64 = 2.0 * (1_200.0 + 64.0) / 1_200.0;
+const LINK_BYTES_PER_BYTE: f64 = 2.0 * (1_200.0 + OVERHEAD) / 1_200.0;
 /// Time after which callers retransmit. A queue that takes as long to drain grows without more load.
 const RETRANSMISSION_TIMEOUT: Duration = Duration::from_millis(200);
-/// Number of full windows that fill a narrow link for [`RETRANSMISSION_TIMEOUT`]: 62 at 100 Mbit/s, 6 at 10 Mbit/s.
+/// Maximum number of full windows that a narrow link carries in [`RETRANSMISSION_TIMEOUT`]. A wider link has no budget.
 const MAX_WINDOWS: f64 = 64.0;
 /// Fraction of the link that is kept free for control traffic and small requests.
 const RESERVED_FRACTION: f64 = 0.25;
@@ -60,19 +62,18 @@
 /// Maximum number of tracked requests. Further ones are forwarded but not counted.
 const MAX_TRACKED: usize = 4_096;
 /// Time without a packet after which a request is no longer tracked: the duration of a caller's attempt.
-const SILENT_TIMEOUT: Duration = Duration::from_millis(1_400);
+const SILENT_TIMEOUT: Duration = ATTEMPT_DURATION;
 /// Time since its last packet for which a request that exceeds its expected bytes is assumed to send more.
 const LONG_REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
 /// Fraction of the capacity from which a link cannot be used without delay.
 const CONGESTED_FRACTION: f64 = 0.9;
 /// Delay of the fastest handshake from which the link counts as congested: the minimum handshake timeout.
 const CONGESTED_DELAY: Duration = Duration::from_millis(40);
-/// Duration up to which a handshake counts as not delayed by the link: callers are 3 ms away, and targets up to 0.9 ms. A
-/// longer one counts only while less than [`CALM_FRACTION`] of the capacity is used, since an instance may start on a
-/// link that is full.
+/// Duration up to which a handshake counts as not delayed by the link. A longer one counts only while less than
+/// [`LOW_UTILIZATION`] of the capacity is used, since an instance may start on a link that is full.
 const SHORT_HANDSHAKE: Duration = Duration::from_millis(20);
 /// Fraction of the capacity up to which a link causes no delay.
-const CALM_FRACTION: f64 = 0.3;
+const LOW_UTILIZATION: f64 = 0.3;
 /// Delay of the fastest handshake up to which the link counts as free of queueing.
 const NO_DELAY: Duration = Duration::from_millis(10);
 /// Number of handshakes that show a delay: a single one may be late since a packet was lost.
@@ -473,7 +474,7 @@
         self.light_rate += (light - self.light_rate) * LIGHT_RATE_WEIGHT;
         let fastest = self.handshakes.take_if(|all| all.count >= MIN_HANDSHAKES).map(|all| all.fastest);
         if let Some(min) = fastest
-            && (min <= SHORT_HANDSHAKE || self.used < self.capacity * CALM_FRACTION)
+            && (min <= SHORT_HANDSHAKE || self.used < self.capacity * LOW_UTILIZATION)
         {
             self.baseline = Some(self.baseline.map_or(min, |baseline| baseline.min(min)));
         }
--- a/crates/core/src/direct/mechanisms.rs
+++ b/crates/core/src/direct/mechanisms.rs
@@ -47,7 +47,7 @@
     Admission,
     /// Guarantees a share of a service's slots to each route while routes of different priority compete.
     FairShare,
-    /// Tells callers that send many times more flows than others, so that these get no larger share than others.
+    /// Detects callers that send many times more flows than others, and limits them to an equal share.
     CallerShares,
     /// Queues flows that can no longer be in time behind those that can.
     LateLast,
--- a/crates/core/src/direct/message.rs
+++ b/crates/core/src/direct/message.rs
@@ -39,7 +39,8 @@
     LoadReport(LoadReport),
     /// How long requests took at targets.
     AnswerTimes(AnswerTimeReport),
-    /// A capacity report. Instances of earlier versions count it as malformed.
+    /// A capacity report. New kinds of messages follow as last variants, so that the encoding of the others is unchanged;
+    /// instances of earlier versions count them as malformed.
     Capacity(CapacityReport),
 }
 
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -48,8 +48,8 @@
 /// all consider themselves responsible still stay within the minimum rate that a cold target can sustain.
 const COLD_FLOW_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Open requests beyond an instance's share of the slots, as a fraction of it, for routes that ask for more than their
-/// share. The end of a request is known 7 ms late, a sixth of a usual request.
+/// Fraction by which a class that asks for more than its share may exceed the instance's share of the slots. The end of a
+/// request is known with a delay, in which a slot would otherwise be idle.
 const EXCESS_RESERVE: f64 = 0.25;
 /// Divisor of a service's number of targets: if more than this fraction of them returns at the same time, they count
 /// as warm.
@@ -109,7 +109,7 @@
     pub all_domains_reported: bool,
     /// Handshake timeout, which determines how long a trial of an avoided target takes.
     pub handshake_timeout: Duration,
-    /// The standing of the flow's route among those that share the service.
+    /// The standing of the flow's class among those that share the service.
     pub standing: Standing,
     /// The ID of this instance.
     pub me: InstanceId,
--- a/crates/core/src/direct/reachability.rs
+++ b/crates/core/src/direct/reachability.rs
@@ -14,7 +14,7 @@
 //!
 //! Targets are checked only on suspicion. A target that is out of reach is checked again at a doubled interval, whether
 //! answers are awaited or not. The finding keeps new flows away until the next of these checks is due, and justifies
-//! resets for the shortest interval only. Load addressed: a failure domain is cut off for seconds, and instances with few
+//! resets for the shortest interval only. It handles the case that a failure domain is cut off for seconds, and instances with few
 //! requests for each of its targets keep the findings afterwards. A finding without an age would reset flows of targets
 //! that can be reached again.
 
@@ -295,7 +295,7 @@
         self.records.get(&target).is_some_and(|record| record.check_requested)
     }
 
-    /// Abandons a check that cannot be performed.
+    /// Discards a check that cannot be performed or whose outcome is unreliable.
     pub fn skip(&mut self, now: Timestamp, target: TargetId) {
         if let Some(record) = self.records.get_mut(&target) {
             record.check_started_at = None;
--- a/crates/core/src/direct/slot_quota.rs
+++ b/crates/core/src/direct/slot_quota.rs
@@ -2,8 +2,8 @@
 //!
 //! The expected load: several times more requests than all targets together can serve, through dozens of instances of
 //! which none knows what the instances of other failure domains place. If each of them bounds its open requests by
-//! itself, as [`adaptive_limit`](crate::direct::adaptive_limit) does, the lower bounds of these limits add up to 1.75
-//! times the slots, and the remainder waits in the targets' queues until they refuse it.
+//! itself, as [`adaptive_limit`](crate::direct::adaptive_limit) does, the lower bounds of these limits add up to more
+//! than the slots, and the excess waits in the targets' queues until they refuse it.
 //!
 //! While a service is overloaded, each of its slots has one owner: the slots of a failure domain are divided among the
 //! instances there. A single report group needs no quotas, since its instances know what all others place.
@@ -12,7 +12,7 @@
 //! [`capacity_report`](crate::direct::capacity_report).
 //!
 //! An instance applies its quotas from its first adaptive limit of the service until the open requests of the group have
-//! been fewer than the slots for [`RELEASE_TIME`]. Answers are quick again as soon as the quotas take effect, so the
+//! been fewer than the slots for `RELEASE_TIME`. Answers are quick again as soon as the quotas take effect, so the
 //! limits alone would be removed while the demand continues.
 
 use std::collections::BTreeMap;
@@ -29,7 +29,8 @@
 /// Ratio of the open requests that an instance may have to the slots that it owns.
 ///
 /// A request counts as open during its handshake and until its caller has acknowledged the answer, and instances choose
-/// targets without knowing all requests of the others. With as many open requests as slots, many slots would be idle.
+/// targets without knowing all requests of the others. A lower ratio leaves slots idle, a higher one fills the targets'
+/// queues.
 const OPEN_PER_SLOT: f64 = 2.4;
 /// Time with fewer open requests than slots after which the quotas of a service are removed.
 const RELEASE_TIME: Duration = Duration::from_secs(1);
--- a/crates/core/src/direct/target_speed.rs
+++ b/crates/core/src/direct/target_speed.rs
@@ -103,8 +103,8 @@
 const DATAGRAM_BYTES: (usize, usize) = (45, 9);
 /// Interval between reports if some target has few samples, and otherwise.
 const REPORT_INTERVALS: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(10));
-/// Interval between two checks whether a report is due, since the caller asks after each packet.
-const CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// Minimum time between two tests whether a report is due. [`TargetSpeeds::take_report`] runs after every packet.
+const REPORT_CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Maximum number of requests for a summary after a start, and the time before each. Each goes to another peer.
 const MAX_REQUESTS: u8 = 3;
 const REQUEST_PERIOD: Duration = Duration::from_millis(700);
@@ -502,7 +502,7 @@
         if now < self.next_check {
             return None;
         }
-        self.next_check = now + CHECK_PERIOD;
+        self.next_check = now + REPORT_CHECK_PERIOD;
         if peers == 0 || !directory.is_synced() {
             self.unreported.clear();
             return None;
--- a/crates/core/tests/direct/directory_lag.rs
+++ b/crates/core/tests/direct/directory_lag.rs
@@ -47,8 +47,8 @@
     (sim, late, reset)
 }
 
-/// Pushes to one instance and the answers to its pulls are lost for 6 s, and targets drain meanwhile. It used to place
-/// flows on them until the updates came. No SYN may reach them after the bound, callers must be served through other
+/// Guards against flows on draining targets: pushes to one instance and the answers to its pulls are lost for 6 s, and
+/// targets drain meanwhile. No SYN may reach them after the bound, callers must be served through other
 /// instances, and the instance must be used again when it has caught up.
 #[test]
 fn an_instance_that_is_behind_places_no_flow_on_draining_targets() {
--- a/crates/core/tests/direct/reachability.rs
+++ b/crates/core/tests/direct/reachability.rs
@@ -164,8 +164,8 @@
 }
 
 /// A peer's report completes a finding, and this instance awaits nothing of the target. The target must be checked again
-/// at a doubled interval, and the finding must lapse whenever a check is due, also if no check succeeds or fails. It
-/// used to last until the target was used again, and the first request then was reset for it.
+/// at a doubled interval, and the finding must lapse whenever a check is due, also if no check succeeds or fails. Otherwise
+/// the first request to the target would be reset for it.
 #[test]
 fn a_finding_by_a_peers_report_is_checked_again_and_lapses() {
     let (mut checks, found_at) = out_of_reach();
@@ -233,8 +233,7 @@
     effects.iter().filter_map(target).collect()
 }
 
-/// A target is out of reach, so its flows are reset. New flows placed on it meanwhile would be reset next: within half a
-/// second an instance placed three flows on a target whose flows it reset. When a check finds it alive, the group must
+/// A target is out of reach, so its flows are reset. New flows placed on it meanwhile would be reset next. When a check finds it alive, the group must
 /// be told although nobody asked, and when its id returns with another start, the finding must end.
 #[test]
 fn a_target_whose_flows_are_reset_gets_no_new_ones() {
@@ -288,7 +287,7 @@
 }
 
 /// A target is suspected or ejected, or a limit is in force, and then a service gets no request for a minute. Whatever
-/// was found must not act on the first requests after that: it used to last until the next answer.
+/// was found must not act on the first requests after that.
 #[test]
 fn findings_without_new_evidence_expire() {
     let mut outliers = Outliers::default();
--- a/crates/core/tests/direct/target_speed.rs
+++ b/crates/core/tests/direct/target_speed.rs
@@ -190,7 +190,7 @@
     assert!((ratio(2) - 1.0).abs() < 0.05 && (ratio(0) - 1.0).abs() < 0.05, "{} {}", ratio(2), ratio(0));
 }
 
-/// Guards against an instance of the old version that misreads messages which it knows: the new one must come last.
+/// Guards against an instance of an earlier version that misreads messages which it knows: the new one must come last.
 #[test]
 fn the_encoding_of_earlier_messages_is_unchanged() {
     let encoded = |frame: Frame| postcard::to_stdvec(&frame).unwrap();
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -423,7 +423,7 @@
         }
     }
 
-    /// Sends the load report of this turn to the group, and logs reachability changes and decisions.
+    /// Sends the reports that are due to the peers, and logs changes of state and decisions.
     fn flush(&mut self) {
         let now = self.now();
         let report = self.dispatcher.take_report();
