Use the adaptive limit where another failure domain does not report overload

Cause: an instance restricted another domain to a twentieth of its slots as soon as its own few answers from there were slow, and flows of routes beyond their share went nowhere else. Change: only the domain's own report brings the quota; otherwise the adaptive limit of that domain holds, also for routes beyond their share. Conclusion: kept; the windows are not yet as good as without quotas, since domains that take the excess report that their slots are used.

--- a/crates/core/src/direct/adaptive_limit.rs
+++ b/crates/core/src/direct/adaptive_limit.rs
@@ -58,27 +58,15 @@
     size: Option<f64>,
     next_decrease: Timestamp,
     last_answer: Timestamp,
-    /// When the latest answer arrived while the limit was in force.
-    last_limited: Option<Timestamp>,
 }
 
 impl DomainLimit {
     fn new(now: Timestamp, unloaded_seconds: f64) -> Self {
-        Self {
-            unloaded_seconds,
-            slow_fraction: 0.0,
-            size: None,
-            next_decrease: Timestamp::ZERO,
-            last_answer: now,
-            last_limited: None,
-        }
+        Self { unloaded_seconds, slow_fraction: 0.0, size: None, next_decrease: Timestamp::ZERO, last_answer: now }
     }
 
     fn answered(&mut self, now: Timestamp, took: Duration, usage: impl FnOnce() -> Usage) {
         self.last_answer = now;
-        if self.size.is_some() {
-            self.last_limited = Some(now);
-        }
         let seconds = took.as_secs_f64();
         let slow = seconds > self.unloaded_seconds * SLOW_RATIO;
         self.slow_fraction += (f64::from(u8::from(slow)) - self.slow_fraction) * SLOW_FRACTION_WEIGHT;
@@ -158,14 +146,6 @@
         self.services.get(service).is_some_and(|domains| domains.values().any(|limit| limit.size.is_some()))
     }
 
-    /// Returns whether a limit is in force for a service in a failure domain, or was within the last `hold`.
-    #[must_use]
-    pub fn was_limited(&self, now: Timestamp, service: &str, domain: &str, hold: Duration) -> bool {
-        self.services.get(service).and_then(|domains| domains.get(domain)).is_some_and(|limit| {
-            limit.size.is_some() || limit.last_limited.is_some_and(|at| now.saturating_sub(at) < hold)
-        })
-    }
-
     /// Returns the services of which a limit is in force.
     pub fn overloaded(&self) -> impl Iterator<Item = &str> {
         self.services.keys().map(String::as_str).filter(|service| self.is_limited(service))
--- a/crates/core/src/direct/dispatcher/quotas.rs
+++ b/crates/core/src/direct/dispatcher/quotas.rs
@@ -10,7 +10,6 @@
 use crate::direct::capacity_report::reports_overload;
 use crate::direct::capacity_report::service_key;
 use crate::direct::mechanisms::Mechanism;
-use crate::direct::slot_quota::OVERLOAD_HOLD;
 use crate::direct::slot_quota::QuotaChange;
 use crate::direct::slot_quota::QuotaInputs;
 use crate::direct::slot_quota::SlotQuotas;
@@ -93,10 +92,7 @@
         for target in self.directory.candidates(now, service) {
             *slots.entry(target.spec.failure_domain.as_str()).or_insert(0) += target.spec.slots.max(1);
         }
-        let is_overloaded = |domain: &str| {
-            self.slot_quotas.overloaded_domains.contains(now, service, domain)
-                || self.adaptive_limits.was_limited(now, service, domain, OVERLOAD_HOLD)
-        };
+        let is_overloaded = |domain: &str| self.slot_quotas.overloaded_domains.contains(now, service, domain);
         let others = slots.keys().copied().filter(|domain| *domain != self.config.domain);
         let free_domains = others.filter(|domain| !is_overloaded(domain)).collect();
         let inputs = QuotaInputs {
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -209,6 +209,10 @@
         let open = f64::from(usage.open);
         match self.standing {
             Standing::Guaranteed => !self.is_reported(domain),
+            // Where quotas are used, a domain without one does not report that its slots are used.
+            Standing::Excess if !self.is_reported(domain) && self.mechanisms.has(Mechanism::SlotQuota) => {
+                open >= size.max(usage.share)
+            }
             Standing::Excess | Standing::ExcessOfCallers => {
                 !self.is_reported(domain) || open >= usage.share * (1.0 + EXCESS_RESERVE)
             }
--- a/crates/core/src/direct/slot_quota.rs
+++ b/crates/core/src/direct/slot_quota.rs
@@ -11,6 +11,9 @@
 //! The slots are divided in proportion to the demand that the instances share in
 //! [`capacity_report`](crate::direct::capacity_report).
 //!
+//! If only some failure domains are overloaded, the excess of their callers goes to the others. A domain has a quota at
+//! instances elsewhere only while its own instances report that its slots are used; otherwise the adaptive limit applies.
+//!
 //! An instance applies its quotas from its first adaptive limit of the service until the open requests of the group have
 //! been fewer than the slots for `RELEASE_TIME`. Answers are quick again as soon as the quotas take effect, so the
 //! limits alone would be removed while the demand continues.
@@ -34,9 +37,6 @@
 const OPEN_PER_SLOT: f64 = 2.4;
 /// Time with fewer open requests than slots after which the quotas of a service are removed.
 const RELEASE_TIME: Duration = Duration::from_secs(1);
-/// Time after the last sign of overload for which another failure domain counts as overloaded. Its answers become quick
-/// as soon as the quota takes effect.
-pub const OVERLOAD_HOLD: Duration = Duration::from_secs(2);
 /// Smallest demand with which an instance counts, as a fraction of the average. An instance without arrivals would
 /// otherwise have no quota for the first of them.
 const MIN_DEMAND: f64 = 0.2;
@@ -62,7 +62,7 @@
     pub demand: GroupDemand,
     /// Whether an adaptive limit of the service is in force.
     pub limited: bool,
-    /// Other failure domains whose targets are not known to be overloaded.
+    /// Other failure domains that do not report that their slots are used.
     pub free_domains: Vec<&'a str>,
     /// Number of instances in the report group, including this one.
     pub group: usize,
