--- a/crates/core/src/direct/reachability.rs
+++ b/crates/core/src/direct/reachability.rs
@@ -332,7 +332,7 @@
     }
 
     /// Returns the targets to be checked now and marks their checks as started. `usual` returns the usual request
-    /// time of a target. Targets that owe answers are checked before those that are only checked again.
+    /// time of a target. Targets with overdue answers are checked before those that are only checked again.
     pub fn take_due(&mut self, now: Timestamp, usual: impl Fn(TargetId) -> Duration) -> Vec<TargetId> {
         self.expire_findings(now);
         let mut under_way = self.records.values().filter(|record| record.check_started_at.is_some()).count();
--- a/crates/core/tests/direct/fair_share.rs
+++ b/crates/core/tests/direct/fair_share.rs
@@ -117,7 +117,7 @@
     }
 }
 
-/// Guards against callers of the same rate that are told apart by chance, which would change the order of flows.
+/// Guards against callers of the same rate of which some count as heavy by chance, which would change the order of flows.
 #[test]
 fn even_callers_are_served_as_without_shares() {
     let [with, without] = [&[][..], &[Mechanism::CallerShares]].map(|without| run_callers(0, 1.0, 70.0, without));
@@ -141,7 +141,7 @@
     assert!(callers.is_empty() && callers.heavy_count() == 0);
 }
 
-/// Guards against shares that change decisions while there is room for all flows.
+/// Guards against shares that change decisions while the slots suffice for all flows.
 #[test]
 fn shares_change_nothing_within_capacity() {
     let [with, without] = [&[][..], &[Mechanism::FairShare]].map(|without| run_two_routes(0, 2.0, without));
--- a/crates/core/tests/direct/reachability.rs
+++ b/crates/core/tests/direct/reachability.rs
@@ -234,7 +234,7 @@
 }
 
 /// A target is out of reach, so its flows are reset. New flows placed on it meanwhile would be reset next. When a check finds it alive, the group must
-/// be told although nobody asked, and when its id returns with another start, the finding must end.
+/// be notified although no member asked, and when its id returns with another start, the finding must end.
 #[test]
 fn a_target_whose_flows_are_reset_gets_no_new_ones() {
     let config = DispatcherConfig {
--- a/crates/core/tests/direct/target_speed.rs
+++ b/crates/core/tests/direct/target_speed.rs
@@ -76,7 +76,7 @@
     None,
     /// Instances learn them.
     Learned,
-    /// Each instance is told the true speeds every second.
+    /// Sets the true speeds at each instance every second.
     Oracle,
 }
 
