Update the directory's tables with each change, and keep the slots of each failure domain as sums

Cause: each store update built the look-up tables by cookie and service anew from all targets, and reviewed all that is known of targets, routes and services. A release changes thousands of entries one after the other, so each instance spends the square of their number. The slots of a service were summed over all its targets for each answer, each full search and each review. Change: the tables follow each change; targets without an entry are kept by the time at which it went missing; sums by service and failure domain; knowledge of other parts is reviewed only when a target was removed or restarted, or the configuration changed. A property test compares the tables with a scan after each change.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -175,6 +175,27 @@
     dispatcher
 }
 
+/// Reports that all targets in `domains` failure domains were unresponsive for long and respond again.
+fn report_recovered(dispatcher: &mut Dispatcher, targets: usize, domains: usize) {
+    let recovered = (0..targets).filter(|index| index % DOMAINS < domains);
+    let recovered = recovered.map(|index| (cookie(target_id(index)), Duration::from_secs(2))).collect();
+    let report = LoadReport { recovered, ..LoadReport::default() };
+    dispatcher.apply_load_report(START, &report, &mut Vec::new());
+}
+
+/// Reports as many open requests as fill all targets.
+fn report_full(dispatcher: &mut Dispatcher, targets: usize) {
+    for index in 0..targets {
+        let open = |number| OpenRequest {
+            flow: u32::try_from(index * 8 + number).unwrap(),
+            target: cookie(target_id(index)),
+            age_ms: 10,
+        };
+        let report = LoadReport { started: (0..8).map(open).collect(), ..LoadReport::default() };
+        dispatcher.apply_load_report(START, &report, &mut Vec::new());
+    }
+}
+
 fn syn(number: usize) -> Segment {
     let [.., a, b, c] = u32::try_from(number).unwrap().to_be_bytes();
     let caller = SocketAddrV4::new(Ipv4Addr::new(100, a, b, c), 5_000);
@@ -257,18 +278,24 @@
                 instance.apply_delta(START, &delta, &mut Vec::new())
             });
         });
-        let instance = dispatcher(584, targets);
-        let mut number = 0;
-        group.bench_function(BenchmarkId::new("syn", targets), |b| {
-            b.iter_batched_ref(
-                || (instance.clone(), Vec::new()),
-                |(instance, effects)| {
-                    number += 1;
-                    instance.handle_packet(START, &syn(number), &[0; 36], effects);
-                },
-                BatchSize::LargeInput,
-            );
-        });
+        let usual = dispatcher(584, targets);
+        let mut one_domain_returns = dispatcher(584, targets);
+        report_recovered(&mut one_domain_returns, targets, 1);
+        let mut all_full = dispatcher(584, targets);
+        report_full(&mut all_full, targets);
+        for (name, instance) in [("syn", usual), ("syn-domain-returns", one_domain_returns), ("syn-full", all_full)] {
+            let mut number = 0;
+            group.bench_function(BenchmarkId::new(name, targets), |b| {
+                b.iter_batched_ref(
+                    || (instance.clone(), Vec::new()),
+                    |(instance, effects)| {
+                        number += 1;
+                        instance.handle_packet(START, &syn(number), &[0; 36], effects);
+                    },
+                    BatchSize::PerIteration,
+                );
+            });
+        }
         let mut instance = dispatcher(584, targets);
         let mut now = START;
         group.bench_function(BenchmarkId::new("tick", targets), |b| {
--- a/crates/core/src/direct/directory.rs
+++ b/crates/core/src/direct/directory/mod.rs
@@ -3,6 +3,8 @@
 //! A target is kept after its entry is removed. It continues to serve its open flows, possibly long after the store
 //! dropped the entry, and a packet whose cookie is unknown would break its flow.
 
+mod index;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
@@ -10,6 +12,9 @@
 
 use serde::Serialize;
 
+pub use self::index::Capacity;
+use self::index::DomainTargets;
+use self::index::TargetIndex;
 use crate::Timestamp;
 use crate::direct::routes::ApplyOutcome;
 use crate::direct::routes::Routes;
@@ -21,7 +26,6 @@
 use crate::direct::store_entries::StoreEntry;
 use crate::direct::store_entries::TargetSpec;
 use crate::direct::store_entries::VersionedEntry;
-use crate::maps::FixedHashMap;
 use hawthornshift_model::Revision;
 use hawthornshift_model::TargetId;
 
@@ -107,8 +111,11 @@
     /// one is known.
     unapplied_revision: Option<Revision>,
     targets: BTreeMap<TargetId, Target>,
-    by_cookie: FixedHashMap<Cookie, TargetId>,
-    by_service: BTreeMap<String, Vec<TargetId>>,
+    index: TargetIndex,
+    /// Targets without an entry, by the time at which it went missing.
+    missing: BTreeSet<(Timestamp, TargetId)>,
+    /// Number of times that a target was removed or a new start of it became known.
+    replacements: u64,
     domains: BTreeMap<String, (Revision, bool)>,
     /// When this instance learned that a domain is evacuated.
     evacuated_since: BTreeMap<String, Timestamp>,
@@ -177,19 +184,63 @@
     /// Returns the target that a cookie identifies.
     #[must_use]
     pub fn by_cookie(&self, cookie: Cookie) -> Option<&Target> {
-        self.by_cookie.get(&cookie).and_then(|id| self.targets.get(id))
+        self.index.by_cookie(cookie).and_then(|id| self.targets.get(&id))
     }
 
     /// Returns the targets of a service that may receive new flows, including those in slow start.
     pub fn candidates(&self, now: Timestamp, service: &str) -> impl Iterator<Item = &Target> {
-        let ids = self.by_service.get(service).into_iter().flatten();
-        ids.filter_map(|id| self.targets.get(id)).filter(move |target| self.is_candidate(now, target))
+        let domains = self.index.service(service).into_iter().flatten();
+        domains.flat_map(move |(_, domain)| self.candidates_of(now, &domain.ids))
+    }
+
+    /// Returns those of the given targets that may receive new flows.
+    pub fn candidates_of(&self, now: Timestamp, ids: &[TargetId]) -> impl Iterator<Item = &Target> {
+        let targets = ids.iter().filter_map(|id| self.targets.get(id));
+        targets.filter(move |target| self.is_candidate(now, target))
+    }
+
+    /// Returns the ids of a service's targets by failure domain, whether they may receive new flows or not.
+    pub fn ids_by_domain(&self, service: &str) -> impl Iterator<Item = (&str, &[TargetId])> {
+        let domains = self.index.service(service).into_iter().flatten();
+        domains.map(|(domain, targets)| (domain.as_str(), targets.ids.as_slice()))
+    }
+
+    /// Returns the number and the slots of a service's targets that may receive new flows, for one failure domain or
+    /// for all of them.
+    #[must_use]
+    pub fn capacity(&self, now: Timestamp, service: &str, domain: Option<&str>) -> Capacity {
+        let Some(domains) = self.index.service(service) else { return Capacity::default() };
+        let Some(domain) = domain else {
+            return Capacity::sum(
+                domains.iter().map(|(domain, targets)| self.domain_capacity(now, service, domain, targets)),
+            );
+        };
+        domains.get(domain).map_or(Capacity::default(), |targets| self.domain_capacity(now, service, domain, targets))
+    }
+
+    fn domain_capacity(&self, now: Timestamp, service: &str, domain: &str, targets: &DomainTargets) -> Capacity {
+        if self.is_evacuated(domain) {
+            return Capacity::default();
+        }
+        let mut capacity = targets.listed;
+        let in_grace = self.missing.range((now.saturating_sub(EXPIRED_ENTRY_GRACE), TargetId::MIN)..);
+        let in_grace = in_grace.filter_map(|(_, id)| self.targets.get(id));
+        let of_domain = |target: &&Target| target.spec.service == service && target.spec.failure_domain == domain;
+        in_grace.filter(of_domain).filter(|target| target.takes_flows(now)).for_each(|target| capacity.add(target));
+        capacity
+    }
+
+    /// Returns how many times a target was removed or a new start of it became known. What is known of targets elsewhere
+    /// has to be reviewed when this changes.
+    #[must_use]
+    pub fn replacements(&self) -> u64 {
+        self.replacements
     }
 
     /// Returns whether any target of a service is known.
     #[must_use]
     pub fn has_service(&self, service: &str) -> bool {
-        self.by_service.contains_key(service)
+        self.index.service(service).is_some()
     }
 
     /// Returns the targets of all services that may receive new flows, including those in slow start.
@@ -197,11 +248,17 @@
         self.targets.values().filter(move |target| self.is_candidate(now, target))
     }
 
+    /// Returns whether a target is one of a service and may receive new flows.
+    #[must_use]
+    pub fn is_candidate_of(&self, now: Timestamp, id: TargetId, service: &str) -> bool {
+        self.target(id).is_some_and(|target| target.spec.service == service && self.is_candidate(now, target))
+    }
+
     fn is_candidate(&self, now: Timestamp, target: &Target) -> bool {
         target.takes_flows(now)
             && !self.is_evacuated(&target.spec.failure_domain)
             // If two ids share a cookie, only the target that the cookie resolves to can be served.
-            && self.by_cookie.get(&target.cookie()) == Some(&target.id)
+            && self.index.by_cookie(target.cookie()) == Some(target.id)
     }
 
     /// Returns the slow start duration of a target's service.
@@ -252,9 +309,6 @@
             self.revision = self.revision.max(delta.revision);
         }
         changed |= self.remove_expired(now);
-        if changed {
-            self.index();
-        }
         changed
     }
 
@@ -283,19 +337,37 @@
         // early.
         let cold_until = if spec.cold_for.is_zero() { Timestamp::ZERO } else { now + spec.cold_for };
         let spec = spec.clone();
-        self.targets.insert(id, Target { id, revision, spec, entry_state, cold_until, known_since });
+        self.replacements += u64::from(known.is_some() && same_start.is_none());
+        self.set_target(Target { id, revision, spec, entry_state, cold_until, known_since });
         true
     }
 
     fn mark_missing(&mut self, now: Timestamp, revision: Revision, id: TargetId) -> bool {
-        let Some(target) = self.targets.get_mut(&id).filter(|target| target.revision < revision) else { return false };
-        target.revision = revision;
-        if !matches!(target.entry_state, EntryState::Missing(_)) {
-            target.entry_state = EntryState::Missing(now);
-        }
+        let Some(target) = self.targets.get(&id).filter(|target| target.revision < revision) else { return false };
+        let missing = matches!(target.entry_state, EntryState::Missing(_));
+        let entry_state = if missing { target.entry_state } else { EntryState::Missing(now) };
+        self.set_target(Target { revision, entry_state, ..target.clone() });
         true
     }
 
+    /// Inserts or replaces a target.
+    fn set_target(&mut self, target: Target) {
+        self.remove_target(target.id);
+        self.index.insert(&target);
+        if let EntryState::Missing(since) = target.entry_state {
+            self.missing.insert((since, target.id));
+        }
+        self.targets.insert(target.id, target);
+    }
+
+    fn remove_target(&mut self, id: TargetId) {
+        let Some(target) = self.targets.remove(&id) else { return };
+        self.index.remove(&target);
+        if let EntryState::Missing(since) = target.entry_state {
+            self.missing.remove(&(since, id));
+        }
+    }
+
     /// Applies a peer's copy of the last entry of a target that was removed from the store.
     fn apply_removed_target(&mut self, now: Timestamp, revision: Revision, id: TargetId, spec: &TargetSpec) -> bool {
         if self.targets.contains_key(&id) {
@@ -305,7 +377,7 @@
         // entries may be over.
         let spec = TargetSpec { draining: true, ..spec.clone() };
         let (entry_state, cold_until) = (EntryState::Missing(now), Timestamp::ZERO);
-        self.targets.insert(id, Target { id, revision, spec, entry_state, cold_until, known_since: now });
+        self.set_target(Target { id, revision, spec, entry_state, cold_until, known_since: now });
         true
     }
 
@@ -374,23 +446,18 @@
         changed
     }
 
-    /// Removes targets that have been missing for longer than any of their flows may live.
+    /// Removes targets that have been missing for longer than any of their flows may live. Returns whether there were any.
     fn remove_expired(&mut self, now: Timestamp) -> bool {
-        let is_expired = |target: &Target| matches!(target.entry_state, EntryState::Missing(since) if now.saturating_sub(since) > TARGET_RETENTION);
-        let before = self.targets.len();
-        let newest = self.targets.values().filter(|target| is_expired(target)).map(|target| target.revision).max();
-        self.targets.retain(|_, target| !is_expired(target));
-        self.discarded_up_to = self.discarded_up_to.max(newest.unwrap_or(0));
-        self.targets.len() != before
-    }
-
-    fn index(&mut self) {
-        self.by_cookie.clear();
-        self.by_service.clear();
-        for target in self.targets.values() {
-            self.by_cookie.entry(target.cookie()).or_insert(target.id);
-            self.by_service.entry(target.spec.service.clone()).or_default().push(target.id);
+        let before = self.missing.len();
+        while let Some((_, id)) =
+            self.missing.first().copied().filter(|(since, _)| now.saturating_sub(*since) > TARGET_RETENTION)
+        {
+            let revision = self.targets.get(&id).map_or(0, |target| target.revision);
+            self.discarded_up_to = self.discarded_up_to.max(revision);
+            self.remove_target(id);
+            self.replacements += 1;
         }
+        self.missing.len() != before
     }
 
     /// Returns what has changed since a revision, or a full snapshot if that is no longer known.
--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -366,23 +366,12 @@
 
     /// Applies a delta of the store. Returns whether it changed the directory.
     pub fn apply_delta(&mut self, now: Timestamp, delta: &Delta, effects: &mut Vec<Effect>) -> bool {
-        let version = self.directory.version();
+        let (replacements, version) = (self.directory.replacements(), self.directory.version());
         let changed = self.directory.apply(now, delta);
         if changed {
-            let directory = &self.directory;
-            self.outliers.retain(|id| directory.target(id).is_some());
-            self.checks.retain(now, |id| directory.target(id).map(|target| target.known_since));
-            self.failures.retain(|id| directory.target(id).is_some(), |address| directory.route(address).is_some());
-            self.answer_times.retain(|address| directory.route(address).is_some());
-            self.link.retain(|address| directory.route(address).is_some());
-            let known = |service: &str| directory.has_service(service);
-            self.adaptive_limits.retain(known);
-            self.service_rates.retain(known);
-            if let Some(routing) = self.directory.routing().filter(|routing| routing.version != version) {
-                self.fair_shares.set_routes(routing);
+            if (self.directory.replacements(), self.directory.version()) != (replacements, version) {
+                self.forget_unknown(now, version);
             }
-            self.slot_quotas.retain(known);
-            self.target_speeds.retain(directory);
             self.dispatch_early_syns(now, effects);
             self.full_search = None;
             self.dispatch(now, effects);
@@ -390,6 +379,25 @@
         changed
     }
 
+    /// Removes what is known of targets, routes and services that the directory no longer has; `version` is that of the
+    /// configuration before.
+    fn forget_unknown(&mut self, now: Timestamp, version: u64) {
+        let directory = &self.directory;
+        self.outliers.retain(|id| directory.target(id).is_some());
+        self.checks.retain(now, |id| directory.target(id).map(|target| target.known_since));
+        self.failures.retain(|id| directory.target(id).is_some(), |address| directory.route(address).is_some());
+        self.answer_times.retain(|address| directory.route(address).is_some());
+        self.link.retain(|address| directory.route(address).is_some());
+        let known = |service: &str| directory.has_service(service);
+        self.adaptive_limits.retain(known);
+        self.service_rates.retain(known);
+        if let Some(routing) = self.directory.routing().filter(|routing| routing.version != version) {
+            self.fair_shares.set_routes(routing);
+        }
+        self.slot_quotas.retain(known);
+        self.target_speeds.retain(directory);
+    }
+
     /// Handles a pause of this process: it may have missed that targets left, died or turned cold.
     pub fn process_paused(&mut self, now: Timestamp) {
         self.stale_until = now + STALE_AFTER_PAUSE;
--- a/crates/core/src/direct/dispatcher/quotas.rs
+++ b/crates/core/src/direct/dispatcher/quotas.rs
@@ -88,10 +88,9 @@
         }
         self.slot_quotas.sample_arrivals(service, self.service_rates.arrivals(now, service));
         let demand = self.slot_quotas.demands.demand(self.own_demand(now, service), self.group.len());
-        let mut slots: BTreeMap<&str, u32> = BTreeMap::new();
-        for target in self.directory.candidates(now, service) {
-            *slots.entry(target.spec.failure_domain.as_str()).or_insert(0) += target.spec.slots.max(1);
-        }
+        let domains = self.directory.ids_by_domain(service).map(|(domain, _)| domain);
+        let slots = domains.map(|domain| (domain, self.directory.capacity(now, service, Some(domain)).slots));
+        let slots: BTreeMap<&str, u32> = slots.filter(|(_, slots)| *slots > 0).collect();
         let is_overloaded = |domain: &str| self.slot_quotas.overloaded_domains.contains(now, service, domain);
         let others = slots.keys().copied().filter(|domain| *domain != self.config.domain);
         let free_domains = others.filter(|domain| !is_overloaded(domain)).collect();
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -225,7 +225,7 @@
     /// Returns the capacity of the pending queue: this instance's share of what the targets can serve in
     /// [`PENDING_HORIZON_S`].
     fn pending_capacity(&self, now: Timestamp, service: &str) -> usize {
-        let slots: u32 = self.directory.candidates(now, service).map(|target| target.spec.slots).sum();
+        let slots = self.directory.capacity(now, service, None).slots;
         let usual = self.open_requests.usual().max(Duration::from_millis(1));
         let all = f64::from(slots) * PENDING_HORIZON_S / usual.as_secs_f64();
         let instances = f64::from(u32::try_from(self.instances.len()).unwrap_or(u32::MAX)).max(1.0);
@@ -299,7 +299,8 @@
 
     /// Places a flow on a cold target assigned to this instance if the target's budget allows, or queues the flow.
     fn place_cold(&mut self, now: Timestamp, pending: PendingFlow, effects: &mut Vec<Effect>) {
-        let targets: Vec<TargetId> = self.placement().cold(now, &pending.service).collect();
+        let mut targets: Vec<TargetId> = self.placement().cold(now, &pending.service).collect();
+        targets.sort_unstable();
         let target = targets.into_iter().find(|target| self.take_cold_budget(now, *target));
         match target {
             Some(target) => self.place(now, pending, target, Outcome::PlacedCold, effects),
--- a/crates/core/src/direct/dispatcher/timers.rs
+++ b/crates/core/src/direct/dispatcher/timers.rs
@@ -146,7 +146,7 @@
     fn too_many_ejected(&self, now: Timestamp, id: FlowId) -> bool {
         let target = self.flows.get(&id).and_then(|flow| self.directory.target(flow.target));
         let Some(target) = target else { return true };
-        let all = self.directory.candidates(now, &target.spec.service).count();
+        let all = self.directory.capacity(now, &target.spec.service, None).targets;
         let ejected = self.directory.candidates(now, &target.spec.service);
         let ejected = ejected.filter(|target| self.failures.is_ejected(now, target.id, || true)).count();
         (ejected + 1) * MAX_EJECTED_DIVISOR > all.max(MAX_EJECTED_DIVISOR)
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -239,8 +239,7 @@
     #[must_use]
     pub fn usage(&self, now: Timestamp, service: &str, domain: Option<&str>) -> Usage {
         let in_scope = |target: &Target| domain.is_none_or(|domain| target.spec.failure_domain == domain);
-        let targets = self.directory.candidates(now, service).filter(|target| in_scope(target));
-        let slots: u32 = targets.map(|target| target.spec.slots.max(1)).sum();
+        let slots = self.directory.capacity(now, service, domain).slots;
         let instances = if domain == Some(self.domain) { self.group.len() } else { self.instances };
         let instances = u32::try_from(instances).unwrap_or(u32::MAX).max(1);
         let serves = |id: TargetId| {
@@ -282,7 +281,7 @@
         if !self.outliers.is_returning(now, target.id) {
             return false;
         }
-        let all = self.directory.candidates(now, &target.spec.service).count();
+        let all = self.directory.capacity(now, &target.spec.service, None).targets;
         let candidates = self.directory.candidates(now, &target.spec.service);
         let returning = candidates.filter(|target| self.outliers.is_returning(now, target.id)).count();
         returning * RETURNING_DIVISOR <= all.max(RETURNING_DIVISOR)
--- a/crates/core/src/direct/target_speed.rs
+++ b/crates/core/src/direct/target_speed.rs
@@ -599,8 +599,10 @@
             service.load += (per_second - service.load) * LOAD_WEIGHT;
         }
         self.targets.retain(|_, record| now.saturating_sub(record.updated_at) < REMOVAL_AGE);
+        let mut ids: Vec<TargetId> = self.targets.keys().copied().collect();
+        ids.sort_unstable();
         let mut by_service: BTreeMap<&str, Vec<TargetId>> = BTreeMap::new();
-        for target in directory.targets().filter(|target| self.targets.contains_key(&target.id)) {
+        for target in ids.iter().filter_map(|id| directory.target(*id)) {
             by_service.entry(&target.spec.service).or_default().push(target.id);
         }
         self.factors.clear();
--- a/crates/core/tests/direct/directory.rs
+++ b/crates/core/tests/direct/directory.rs
@@ -1,5 +1,6 @@
 //! Store updates in any order, and the deltas that instances send to each other.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use proptest::arbitrary::any;
@@ -9,6 +10,8 @@
 use proptest::proptest;
 use proptest::sample::Index;
 
+use crate::fleet::DOMAINS;
+use crate::fleet::SERVICE;
 use crate::fleet::domain;
 use crate::fleet::routing;
 use crate::fleet::store_snapshot;
@@ -16,11 +19,15 @@
 use crate::fleet::target_spec;
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::directory::Directory;
+use hawthornshift_core::direct::directory::Target;
 use hawthornshift_core::direct::directory::cookie;
+use hawthornshift_core::direct::segment::Cookie;
 use hawthornshift_core::direct::store_entries::Delta;
 use hawthornshift_core::direct::store_entries::Routing;
 use hawthornshift_core::direct::store_entries::StoreEntry;
+use hawthornshift_core::direct::store_entries::TargetSpec;
 use hawthornshift_core::direct::store_entries::VersionedEntry;
+use hawthornshift_model::TargetId;
 
 /// Returns the decisive part of a directory: targets that may get flows, evacuated domains, and the version of the
 /// configuration.
@@ -97,6 +104,85 @@
         prop_assert_eq!(decisive_state(&source), decisive_state(&behind));
         prop_assert_eq!(source.revision(), behind.revision());
     }
+
+    /// Tables that miss a change of a target would send flows to one that has left, or count slots that do not exist.
+    #[test]
+    fn look_up_tables_follow_every_change(changes in vec((0_u8..6, 0_usize..8, 0_u64..40_000), 1..60)) {
+        let mut directory = Directory::default();
+        directory.apply(Timestamp::ZERO, &store_snapshot(4));
+        let mut now = Timestamp::ZERO;
+        for ((kind, index, wait_ms), revision) in changes.into_iter().zip(12_u64..) {
+            now += Duration::from_millis(wait_ms);
+            let entry = target_change(kind, index, revision);
+            let versioned_entries = vec![VersionedEntry { revision, entry }];
+            let delta = Delta { since: revision - 1, revision, is_snapshot: false, entries: versioned_entries };
+            directory.apply(now, &delta);
+            for later in [Duration::ZERO, Duration::from_secs(3)] {
+                prop_assert_eq!(found_by_tables(&directory, now + later), found_by_scan(&directory, now + later));
+            }
+        }
+    }
+}
+
+/// Returns a change of a target: listed, draining, moved to another service, listed under an id with the same cookie as
+/// another, removed, or its failure domain evacuated.
+fn target_change(kind: u8, index: usize, revision: u64) -> StoreEntry {
+    let spec = TargetSpec { started_at_ms: revision, ..target_spec(index, Duration::ZERO) };
+    match kind {
+        0 => StoreEntry::Target(target_id(index), Some(spec)),
+        1 => StoreEntry::Target(target_id(index), Some(TargetSpec { draining: true, ..spec })),
+        2 => StoreEntry::Target(target_id(index), Some(TargetSpec { service: "other".to_owned(), slots: 5, ..spec })),
+        3 => StoreEntry::Target(target_id(index % 2) + (1 << 32), Some(spec)),
+        4 => StoreEntry::Target(target_id(index), None),
+        _ => StoreEntry::Evacuated(domain(index), revision % 2 == 0),
+    }
+}
+
+/// The targets of each service that may get flows, the number of slots by service and domain, and the target of each
+/// cookie.
+type Found = (Vec<(String, Vec<TargetId>)>, Vec<(String, String, u32)>, Vec<(Cookie, TargetId)>);
+
+fn services_and_domains() -> impl Iterator<Item = (String, String)> {
+    let services = [SERVICE, "other"];
+    services.into_iter().flat_map(|service| (0..DOMAINS).map(move |index| (service.to_owned(), domain(index))))
+}
+
+fn found_by_tables(directory: &Directory, now: Timestamp) -> Found {
+    let candidates = [SERVICE, "other"].map(|service| {
+        let mut ids: Vec<TargetId> = directory.candidates(now, service).map(|target| target.id).collect();
+        ids.sort_unstable();
+        (service.to_owned(), ids)
+    });
+    let slots = services_and_domains().map(|(service, domain)| {
+        let slots = directory.capacity(now, &service, Some(&domain)).slots;
+        (service, domain, slots)
+    });
+    let mut cookies: Vec<Cookie> = directory.targets().map(Target::cookie).collect();
+    cookies.sort_unstable();
+    cookies.dedup();
+    let by_cookie = cookies.into_iter().filter_map(|cookie| Some((cookie, directory.by_cookie(cookie)?.id)));
+    (candidates.to_vec(), slots.collect(), by_cookie.collect())
+}
+
+fn found_by_scan(directory: &Directory, now: Timestamp) -> Found {
+    let mut by_cookie: BTreeMap<Cookie, TargetId> = BTreeMap::new();
+    directory.targets().for_each(|target| {
+        by_cookie.entry(target.cookie()).or_insert(target.id);
+    });
+    let takes_flows =
+        |target: &&Target| target.takes_flows(now) && !directory.is_evacuated(&target.spec.failure_domain);
+    let candidates = [SERVICE, "other"].map(|service| {
+        let targets = directory.targets().filter(takes_flows).filter(|target| target.spec.service == service);
+        let ids = targets.map(|target| target.id).filter(|id| by_cookie[&cookie(*id)] == *id);
+        (service.to_owned(), ids.collect())
+    });
+    let slots = services_and_domains().map(|(service, domain)| {
+        let targets = directory.targets().filter(takes_flows);
+        let targets = targets.filter(|target| target.spec.service == service && target.spec.failure_domain == domain);
+        let slots = targets.map(|target| target.spec.slots.max(1)).sum();
+        (service, domain, slots)
+    });
+    (candidates.to_vec(), slots.collect(), by_cookie.into_iter().collect())
 }
 
 /// A store update is lost and the next one arrives. If the instance assumed that it knows everything up to the later
