Count the targets that return once for each flow

Cause: when a target was unresponsive and responds again it counts as cold, unless more than a third of its service returns. For each returning target, each search counted all targets of the service twice. After a partition hundreds of targets return together, so one SYN took the time of returning targets times all targets. Change: the returning targets are kept as a set, and whether they count as cold is decided once for each search. The check on ejected targets counts only the ejected ones.

--- a/crates/core/src/direct/dispatcher/timers.rs
+++ b/crates/core/src/direct/dispatcher/timers.rs
@@ -72,6 +72,7 @@
 
     /// Drops the findings whose evidence is too old. Findings about reach expire with the checks.
     fn expire_findings(&mut self, now: Timestamp) {
+        self.outliers.expire_returning(now);
         if self.is_enabled(Mechanism::FindingAge) {
             self.outliers.expire(now);
             self.domains.expire(now);
@@ -146,9 +147,9 @@
     fn too_many_ejected(&self, now: Timestamp, id: FlowId) -> bool {
         let target = self.flows.get(&id).and_then(|flow| self.directory.target(flow.target));
         let Some(target) = target else { return true };
-        let all = self.directory.capacity(now, &target.spec.service, None).targets;
-        let ejected = self.directory.candidates(now, &target.spec.service);
-        let ejected = ejected.filter(|target| self.failures.is_ejected(now, target.id, || true)).count();
+        let service = &target.spec.service;
+        let all = self.directory.capacity(now, service, None).targets;
+        let ejected = self.failures.ejected(now).filter(|id| self.directory.is_candidate_of(now, *id, service)).count();
         (ejected + 1) * MAX_EJECTED_DIVISOR > all.max(MAX_EJECTED_DIVISOR)
     }
 
--- a/crates/core/src/direct/failures.rs
+++ b/crates/core/src/direct/failures.rs
@@ -143,6 +143,11 @@
         now < record.ejected_until || (now < record.ejected_until + SINGLE_INSTANCE_TRIAL_TIME && !is_retry_owner())
     }
 
+    /// Returns the targets that are ranked behind the others at every instance.
+    pub fn ejected(&self, now: Timestamp) -> impl Iterator<Item = TargetId> {
+        self.records.keys().copied().filter(move |target| self.is_ejected(now, *target, || true))
+    }
+
     /// Returns the number of ejected targets.
     #[must_use]
     pub fn ejected_count(&self, now: Timestamp) -> usize {
--- a/crates/core/src/direct/outlier.rs
+++ b/crates/core/src/direct/outlier.rs
@@ -15,6 +15,7 @@
 use crate::Timestamp;
 use crate::backoff;
 use crate::maps::FixedHashMap;
+use crate::maps::FixedHashSet;
 use hawthornshift_model::TargetId;
 
 /// Time for which a target is avoided after the first handshake that was not completed. It is short, because one
@@ -113,6 +114,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Outliers {
     records: FixedHashMap<TargetId, Record>,
+    /// Targets that were marked as cold and may still be so.
+    returning: FixedHashSet<TargetId>,
 }
 
 impl Outliers {
@@ -150,6 +153,7 @@
         let record = self.records.entry(target).or_default();
         record.clear(now);
         record.cold_until = record.cold_until.max(now + cold_time);
+        self.returning.insert(target);
     }
 
     /// Records a response of a target. Returns whether peers should be notified, because an instance suspects the
@@ -176,6 +180,11 @@
         self.records.get(&target).is_some_and(|record| now < record.cold_until)
     }
 
+    /// Returns the targets that count as cold because they have recently returned.
+    pub fn returning(&self, now: Timestamp) -> impl Iterator<Item = TargetId> {
+        self.returning.iter().copied().filter(move |target| self.is_returning(now, *target))
+    }
+
     /// Records that a target has not completed the handshake of a SYN sent at `sent`.
     ///
     /// Returns the time for which to avoid the target if peers should be notified.
@@ -270,6 +279,12 @@
         self.records.iter().map(move |(id, record)| (*id, left(record))).filter(|(_, left)| !left.is_zero())
     }
 
+    /// Forgets the targets that are no longer cold.
+    pub fn expire_returning(&mut self, now: Timestamp) {
+        let records = &self.records;
+        self.returning.retain(|target| records.get(target).is_some_and(|record| now < record.cold_until));
+    }
+
     /// Drops the suspicions that no failed handshake and no report has renewed for long.
     pub fn expire(&mut self, now: Timestamp) {
         for record in self.records.values_mut().filter(|record| record.failed_handshakes > 0) {
@@ -283,5 +298,6 @@
     /// Removes the targets for which `known` returns false.
     pub fn retain(&mut self, known: impl Fn(TargetId) -> bool) {
         self.records.retain(|id, _| known(*id));
+        self.returning.retain(|id| known(*id));
     }
 }
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -7,6 +7,7 @@
 //! between them fail. Equal costs are decided by the rendezvous score of the flow's hash, so that instances that
 //! decide concurrently choose different targets.
 
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -123,7 +124,9 @@
     /// Returns the target for a new flow of a service, excluding the targets in `tried`.
     #[must_use]
     pub fn choose(&self, now: Timestamp, service: &str, hash: u64, limit: Limit, tried: &[TargetId]) -> Choice {
-        let warm = |target: &&Target| !self.is_cold(now, target) && self.is_reachable(now, target.id);
+        let returning_are_cold = OnceCell::new();
+        let is_cold = |target: &Target| self.is_cold_with(now, target, &returning_are_cold);
+        let warm = |target: &&Target| !is_cold(target) && self.is_reachable(now, target.id);
         let mut suspicions = PerDomain::default();
         let mut reached_limits = PerDomain::default();
         let uneven = self.speeds.is_active(service);
@@ -275,15 +278,22 @@
     /// them.
     #[must_use]
     pub fn is_cold(&self, now: Timestamp, target: &Target) -> bool {
-        if target.is_cold(now) {
-            return true;
-        }
-        if !self.outliers.is_returning(now, target.id) {
-            return false;
-        }
-        let all = self.directory.capacity(now, &target.spec.service, None).targets;
-        let candidates = self.directory.candidates(now, &target.spec.service);
-        let returning = candidates.filter(|target| self.outliers.is_returning(now, target.id)).count();
+        self.is_cold_with(now, target, &OnceCell::new())
+    }
+
+    /// Returns whether a target is cold. `returning_are_cold` keeps what is the same for all targets of its service: after
+    /// a partition has healed, hundreds of them return at the same time.
+    fn is_cold_with(&self, now: Timestamp, target: &Target, returning_are_cold: &OnceCell<bool>) -> bool {
+        target.is_cold(now)
+            || (self.outliers.is_returning(now, target.id)
+                && *returning_are_cold.get_or_init(|| self.returning_are_cold(now, &target.spec.service)))
+    }
+
+    /// Returns whether the returning targets of a service count as cold: they are at most a third of its targets.
+    fn returning_are_cold(&self, now: Timestamp, service: &str) -> bool {
+        let all = self.directory.capacity(now, service, None).targets;
+        let returning =
+            self.outliers.returning(now).filter(|id| self.directory.is_candidate_of(now, *id, service)).count();
         returning * RETURNING_DIVISOR <= all.max(RETURNING_DIVISOR)
     }
 
@@ -294,7 +304,9 @@
 
     /// Returns the cold targets of a service, which may receive a few flows when no warm target is left.
     pub fn cold(&self, now: Timestamp, service: &str) -> impl Iterator<Item = TargetId> {
-        let cold = move |target: &&Target| self.is_cold(now, target) && self.is_reachable(now, target.id);
+        let returning_are_cold = OnceCell::new();
+        let is_cold = move |target: &Target| self.is_cold_with(now, target, &returning_are_cold);
+        let cold = move |target: &&Target| is_cold(target) && self.is_reachable(now, target.id);
         self.directory.candidates(now, service).filter(cold).map(|target| target.id)
     }
 
