Search the targets of a large service in steps

Cause: each new flow was compared with all targets of its service. At 4,800 targets that is more work than all else that an instance does with a flow, and it grows with the number of targets. Change: of a service with more than 256 targets, 64 of the own failure domain are compared at a time, from a position given by the flow, until one with a free slot is found; then the other domains, as many of each. If free slots are rare, all targets are compared as before. Services with fewer targets are searched as before. A counter, targets_examined_total, shows the work.

--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -11,6 +11,7 @@
 mod syn;
 mod timers;
 
+use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -162,6 +163,7 @@
     guaranteed_count: u64,
     slot_quotas: SlotQuotas,
     target_speeds: TargetSpeeds,
+    examined_targets: Cell<u64>,
     /// End of the period in which the state may be stale because this process was paused.
     stale_until: Timestamp,
     /// SYNs buffered before the directory was synced, or while it may be stale.
@@ -231,6 +233,7 @@
             guaranteed_count: 0,
             slot_quotas: SlotQuotas::default(),
             target_speeds: TargetSpeeds::default(),
+            examined_targets: Cell::new(0),
             stale_until: Timestamp::ZERO,
             next_review: Timestamp::ZERO,
             early_syns: Vec::new(),
@@ -322,6 +325,12 @@
         (self.flows.len(), self.pending.len())
     }
 
+    /// Returns the number of targets that searches for a target have looked at.
+    #[must_use]
+    pub fn examined_targets(&self) -> u64 {
+        self.examined_targets.get()
+    }
+
     /// Takes the load report to send to peers.
     pub fn take_report(&mut self) -> LoadReport {
         std::mem::take(&mut self.report)
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -254,6 +254,7 @@
             me: self.config.id,
             instances: self.instances.len(),
             group: &self.group,
+            examined: &self.examined_targets,
         }
     }
 
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement/mod.rs
@@ -7,10 +7,15 @@
 //! between them fail. Equal costs are decided by the rendezvous score of the flow's hash, so that instances that
 //! decide concurrently choose different targets.
 
+mod search;
+
+use std::cell::Cell;
 use std::cell::OnceCell;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use self::search::Request;
+use self::search::Search;
 use crate::Timestamp;
 use crate::direct::adaptive_limit::AdaptiveLimits;
 use crate::direct::adaptive_limit::Usage;
@@ -22,7 +27,6 @@
 use crate::direct::mechanisms::Mechanism;
 use crate::direct::mechanisms::Mechanisms;
 use crate::direct::open_requests::OpenRequests;
-use crate::direct::outlier::Availability;
 use crate::direct::outlier::Outliers;
 use crate::direct::reachability::Reachability;
 use crate::direct::reachability::ReachabilityChecks;
@@ -118,75 +122,17 @@
     pub instances: usize,
     /// The instances that report open requests to each other, including this one.
     pub group: &'a [InstanceId],
+    /// Number of targets that searches have looked at.
+    pub examined: &'a Cell<u64>,
 }
 
 impl Placement<'_> {
     /// Returns the target for a new flow of a service, excluding the targets in `tried`.
     #[must_use]
     pub fn choose(&self, now: Timestamp, service: &str, hash: u64, limit: Limit, tried: &[TargetId]) -> Choice {
-        let returning_are_cold = OnceCell::new();
-        let is_cold = |target: &Target| self.is_cold_with(now, target, &returning_are_cold);
-        let warm = |target: &&Target| !is_cold(target) && self.is_reachable(now, target.id);
-        let mut suspicions = PerDomain::default();
-        let mut reached_limits = PerDomain::default();
-        let uneven = self.speeds.is_active(service);
-        let mut any_warm = false;
-        let mut any_responsive = false;
-        let mut best: Option<(f64, u64, TargetId)> = None;
-        let mut best_suspected: Option<(f64, u64, TargetId)> = None;
-        let mut best_unresponsive: Option<(f64, u64, TargetId)> = None;
-        for target in self.directory.candidates(now, service).filter(warm) {
-            any_warm = true;
-            any_responsive |= self.outliers.availability(now, target.id, self.handshake_timeout, || false)
-                != Availability::Unresponsive;
-            let domain = target.spec.failure_domain.as_str();
-            let at_limit =
-                limit != Limit::Queue && reached_limits.get(domain, || self.is_at_limit(now, service, domain));
-            if tried.contains(&target.id) || !self.has_room(target, limit) || at_limit {
-                continue;
-            }
-            let score = rendezvous::score(hash, target.id);
-            let (speed, score) = if uneven { self.weigh_speed(target, score) } else { (1.0, score) };
-            let cost = (self.cost(now, target, speed), score, target.id);
-            let best_of_rank = match self
-                .outliers
-                .availability(now, target.id, self.handshake_timeout, || self.is_retry_owner(target.id))
-            {
-                Availability::Available
-                    if self.failures.is_ejected(now, target.id, || self.is_retry_owner(target.id)) =>
-                {
-                    &mut best_suspected
-                }
-                Availability::Available if self.checks.is_lapsed(now, target.id) => &mut best_suspected,
-                Availability::Available
-                    if suspicions
-                        .get(domain, || self.suspicion(now, domain, tried))
-                        .is_some_and(|d| d.applies_to(target)) =>
-                {
-                    &mut best_suspected
-                }
-                Availability::Available => &mut best,
-                Availability::Suspected => &mut best_suspected,
-                Availability::Unresponsive if self.outliers.may_try_as_last_resort(now, target.id) => {
-                    &mut best_unresponsive
-                }
-                Availability::Unresponsive => continue,
-            };
-            if best_of_rank.is_none_or(|best_of_rank| (cost.0, cost.1) < (best_of_rank.0, best_of_rank.1)) {
-                *best_of_rank = Some(cost);
-            }
-        }
-        // Suspicion only affects the order of targets. When callers' packets start to arrive at other instances,
-        // dozens of handshakes appear incomplete and most targets are suspected at once. Waiting for the few others
-        // would cost seconds, whereas trying a dead target costs 40 ms, at most as often as it has slots.
-        // A target that has been unresponsive for long may have been restarted and be cold, so many concurrent trials
-        // could overload it.
-        let last_resort = if any_responsive { None } else { best_unresponsive };
-        match best.or(best_suspected).or(last_resort) {
-            Some((_, _, id)) => Choice::Target(id),
-            None if any_warm => Choice::Full,
-            None => Choice::NoTarget,
-        }
+        let mut search = Search::new(self, now, Request { service, hash, limit, tried });
+        search.run();
+        search.choice()
     }
 
     /// Returns whether this instance has reached its limit of open requests with a service's targets in a failure
@@ -289,6 +235,10 @@
                 && *returning_are_cold.get_or_init(|| self.returning_are_cold(now, &target.spec.service)))
     }
 
+    fn record_examined(&self) {
+        self.examined.set(self.examined.get() + 1);
+    }
+
     /// Returns whether the returning targets of a service count as cold: they are at most a third of its targets.
     fn returning_are_cold(&self, now: Timestamp, service: &str) -> bool {
         let all = self.directory.capacity(now, service, None).targets;
@@ -334,19 +284,25 @@
 
     /// Returns the factor of a target's speed on its cost for one flow, and the score that decides between equal costs.
     fn weigh_speed(&self, target: &Target, score: u64) -> (f64, u64) {
-        let has_free_slot = self.open_requests.count(target.id) < target.spec.slots.max(1);
-        self.speeds.weigh(target.id, score, has_free_slot)
+        self.speeds.weigh(target.id, score, self.has_free_slot(target))
+    }
+
+    fn has_free_slot(&self, target: &Target) -> bool {
+        self.open_requests.count(target.id) < target.spec.slots.max(1)
+    }
+
+    /// Returns the cost added to targets of other failure domains.
+    fn remote_cost(&self) -> f64 {
+        match (self.mechanisms.has(Mechanism::RemoteCost), self.all_domains_reported) {
+            (false, _) => 0.0,
+            (true, true) => REMOTE_COST,
+            (true, false) => UNKNOWN_REMOTE_COST,
+        }
     }
 
     fn cost(&self, now: Timestamp, target: &Target, speed: f64) -> f64 {
         let filled = f64::from(self.open_requests.count(target.id) + 1) / f64::from(target.spec.slots.max(1));
-        let local = target.spec.failure_domain == self.domain;
-        let remote = match (local, self.all_domains_reported) {
-            (true, _) => 0.0,
-            (false, true) => REMOTE_COST,
-            (false, false) => UNKNOWN_REMOTE_COST,
-        };
-        let remote = if self.mechanisms.has(Mechanism::RemoteCost) { remote } else { 0.0 };
+        let remote = if target.spec.failure_domain == self.domain { 0.0 } else { self.remote_cost() };
         let slowness =
             if self.mechanisms.has(Mechanism::Slowness) { self.open_requests.slowness(now, target.id) } else { 1.0 };
         // The speed is learned slowly. A target that has become slow meanwhile counts with its present slowness.
@@ -373,28 +329,6 @@
     }
 }
 
-/// Values by failure domain, computed at most once for each domain while one flow is placed, however many targets the
-/// domain has.
-#[derive(Debug)]
-struct PerDomain<'a, T>(Vec<(&'a str, T)>);
-
-impl<T> Default for PerDomain<'_, T> {
-    fn default() -> Self {
-        Self(Vec::new())
-    }
-}
-
-impl<'a, T: Copy> PerDomain<'a, T> {
-    fn get(&mut self, domain: &'a str, find: impl FnOnce() -> T) -> T {
-        if let Some((_, known)) = self.0.iter().find(|(known, _)| *known == domain) {
-            return *known;
-        }
-        let found = find();
-        self.0.push((domain, found));
-        found
-    }
-}
-
 /// Limits the rate of flows that this instance places on cold targets.
 #[derive(Clone, Debug, Default)]
 pub struct SlowStart {
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -18,6 +18,7 @@
 mod readiness;
 mod routes;
 mod rules;
+mod search_work;
 mod slot_quota;
 mod store_updates;
 mod target_speed;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -64,6 +64,7 @@
     gauge!("hawthornshift_callers_heavy").set(gauge_value(sources.dispatcher.heavy_callers()));
     counter!("hawthornshift_guaranteed_placements_total").absolute(sources.dispatcher.guaranteed_count());
     gauge!("hawthornshift_quotas_in_force").set(gauge_value(sources.dispatcher.slot_quotas().in_force().count()));
+    counter!("hawthornshift_targets_examined_total").absolute(sources.dispatcher.examined_targets());
     let accepting = directory.targets().filter(|target| target.takes_flows(now)).count();
     gauge!("hawthornshift_targets_listed").set(gauge_value(accepting));
 }
