Derive the hash, the counts and the pending updates of a view from each change of a member

Cause: each heartbeat sent or received hashed and counted all members, and each one sent sorted them by how often their update was sent; each tick of 50 ms scanned them twice. A change of the fleet compared the old and the new list of instances pair by pair. Change: a table of members updates the hash, the number of serving members, the suspected, dead and removable ones and the queue of updates with each change. The rank for the watcher role and the peers to ask at a start are computed only when they decide. A property test compares what is stated of a view with a scan after each change.

--- a/crates/core/src/direct/bootstrap.rs
+++ b/crates/core/src/direct/bootstrap.rs
@@ -92,6 +92,18 @@
         self.next_ask = now + REFUSAL_RETRY_DELAY.mul_f64(1.0 + jitter);
     }
 
+    /// Returns whether a request to a peer is due.
+    #[must_use]
+    pub fn is_ask_due(&self, now: Timestamp) -> bool {
+        now >= self.next_ask
+    }
+
+    /// Returns whether the instance that reads first would read the store now.
+    #[must_use]
+    pub fn may_read_store(&self, now: Timestamp) -> bool {
+        now >= self.read_after
+    }
+
     /// Returns the peer to ask now, if a request is due: a random one of `up_to_date`, or else, once any peer may
     /// be asked, a random one of `others`.
     pub fn ask(
@@ -101,7 +113,7 @@
         others: &[SocketAddr],
         rng: &mut impl Rng,
     ) -> Option<SocketAddr> {
-        if now < self.next_ask {
+        if !self.is_ask_due(now) {
             return None;
         }
         let fallback_peers = if now < self.ask_any_peer_after { &[] } else { others };
--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -57,6 +57,7 @@
 use crate::direct::slot_quota::SlotQuotas;
 use crate::direct::store_entries::Delta;
 use crate::direct::target_speed::TargetSpeeds;
+use crate::maps::FixedHashSet;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::Revision;
 use hawthornshift_model::TargetId;
@@ -358,7 +359,8 @@
         group: Vec<InstanceId>,
         all_domains_reported: bool,
     ) {
-        if instances.iter().any(|id| !self.instances.contains(id)) {
+        let known: FixedHashSet<InstanceId> = self.instances.iter().copied().collect();
+        if instances.iter().any(|id| !known.contains(id)) {
             let open = self.flows.unanswered().map(|flow| (flow.id.flow_hash(), flow.target));
             let open: Vec<_> = open.filter(|(flow, _)| self.open_requests.is_reported(*flow)).collect();
             for (flow, target) in open {
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -210,7 +210,7 @@
     /// Returns whether the whole fleet forms a single load report group.
     #[must_use]
     pub fn is_one_group(&self) -> bool {
-        self.membership.serving().count() <= MAX_SINGLE_GROUP_SIZE
+        self.membership.serving_count() <= MAX_SINGLE_GROUP_SIZE
     }
 
     /// Returns the ids of the instances in this instance's load report group, including this one.
@@ -412,7 +412,7 @@
     }
 
     fn serving_count(&self) -> u32 {
-        u32::try_from(self.membership.serving().count()).unwrap_or(u32::MAX)
+        u32::try_from(self.membership.serving_count()).unwrap_or(u32::MAX)
     }
 
     fn heartbeat(
@@ -478,11 +478,13 @@
         }
         let probes = self.membership.tick(now, &mut self.rng);
         effects.extend(probes.into_iter().filter_map(|probe| self.probe_effect(now, probe, revision)));
-        let peers = self.membership.serving().count().saturating_sub(1);
+        let peers = self.membership.serving_count().saturating_sub(1);
         self.directory_lag.review(now, revision, peers);
         effects.extend(self.due_fetch(now, revision));
         effects.extend(self.request_view_from_any(now));
-        effects.extend(self.watcher_role.tick(now, self.rank()).map(FleetEffect::RoleChange));
+        if self.watcher_role.may_take_over(now) {
+            effects.extend(self.watcher_role.tick(now, self.rank()).map(FleetEffect::RoleChange));
+        }
         if let Some(announcement) = self.watcher_role.announcement(now, revision) {
             effects.extend(self.broadcast(announcement, revision, None));
         }
--- a/crates/core/src/direct/watch.rs
+++ b/crates/core/src/direct/watch.rs
@@ -141,14 +141,17 @@
         }
     }
 
+    /// Returns whether the instance that ranks first would take over the watcher role now.
+    #[must_use]
+    pub fn may_take_over(&self, now: Timestamp) -> bool {
+        !self.watching && !self.leaving && now.saturating_sub(self.last_fresh) >= TAKEOVER_TIMEOUT
+    }
+
     /// Takes over the watcher role if no instance that ranks before this one appears to hold it; `rank` is the number
     /// of live instances that do.
     pub fn tick(&mut self, now: Timestamp, rank: u32) -> Option<RoleChange> {
-        if self.watching || self.leaving {
-            return None;
-        }
         let timeout = TAKEOVER_TIMEOUT + TAKEOVER_RANK_DELAY * rank;
-        if now.saturating_sub(self.last_fresh) < timeout {
+        if !self.may_take_over(now) || now.saturating_sub(self.last_fresh) < timeout {
             return None;
         }
         self.start(now);
--- a/crates/core/src/membership/anti_entropy.rs
+++ b/crates/core/src/membership/anti_entropy.rs
@@ -35,7 +35,8 @@
         self.0.iter().fold(0, |hash, bucket| rendezvous::score(hash, u64::from(*bucket)))
     }
 
-    fn add(&mut self, update: &MemberUpdate) {
+    /// Adds a member to the digest, or removes it.
+    pub(super) fn toggle(&mut self, update: &MemberUpdate) {
         let reported_state = match update.state {
             MemberState::Listed | MemberState::Dead => return,
             MemberState::Alive | MemberState::Suspect => MemberState::Alive as u64,
@@ -68,8 +69,8 @@
     /// Returns the digest of the local view, including this instance.
     #[must_use]
     pub fn digest(&self) -> ViewDigest {
-        let mut digest = ViewDigest::default();
-        std::iter::once(&self.me).chain(self.members()).for_each(|update| digest.add(update));
+        let mut digest = self.members.digest().clone();
+        digest.toggle(&self.me);
         digest
     }
 
--- a/crates/core/src/membership/dissemination.rs
+++ b/crates/core/src/membership/dissemination.rs
@@ -4,8 +4,6 @@
 //! with high probability. The updates sent least often go first: an order by instance id would delay the updates of
 //! high ids until those of low ids are done, which takes seconds when a large fleet starts.
 
-use std::cmp::Reverse;
-
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 
@@ -53,32 +51,36 @@
         let recipient_state = self.member(to).filter(|update| update.state > MemberState::Alive);
         let mut updates: Vec<MemberUpdate> = recipient_state.cloned().into_iter().collect();
         if view == PeerView::Same {
-            let others = self.members.iter_mut().filter(|(id, _)| **id != to);
-            others.for_each(|(_, member)| member.transmits_left = member.transmits_left.saturating_sub(1));
+            let pending: Vec<InstanceId> = self.members.pending().filter(|id| *id != to).collect();
+            for id in pending {
+                self.count_transmit(id);
+            }
             return updates;
         }
         let mut remaining_bytes =
             MAX_PIGGYBACK_BYTES.saturating_sub(updates.iter().map(MemberUpdate::max_encoded_len).sum());
-        let mut pending: Vec<(Reverse<u32>, InstanceId)> = self
-            .members
-            .iter()
-            .filter(|(id, member)| member.transmits_left > 0 && **id != to)
-            .map(|(id, member)| (Reverse(member.transmits_left), *id))
-            .collect();
-        pending.sort_unstable();
-        for (_, id) in pending {
-            let Some(member) = self.members.get_mut(&id) else { continue };
-            let bytes = member.update.max_encoded_len();
+        let mut sent = Vec::new();
+        for id in self.members.pending().filter(|id| *id != to) {
+            let Some(update) = self.member(id) else { continue };
+            let bytes = update.max_encoded_len();
             if bytes > remaining_bytes {
                 break;
             }
             remaining_bytes -= bytes;
-            member.transmits_left -= 1;
-            updates.push(member.update.clone());
+            updates.push(update.clone());
+            sent.push(id);
+        }
+        for id in sent {
+            self.count_transmit(id);
         }
         updates
     }
 
+    /// Counts a member's latest update as sent once more.
+    fn count_transmit(&mut self, id: InstanceId) {
+        self.members.modify(id, |member| member.transmits_left = member.transmits_left.saturating_sub(1));
+    }
+
     /// Adds random members to the updates for a peer whose view differs, since it may lack any of them.
     pub fn add_random_updates(&self, rng: &mut SmallRng, updates: &mut Vec<MemberUpdate>) {
         let known = self.members.values().filter(|member| member.update.state != MemberState::Listed);
--- a/crates/core/src/membership/failure_detector.rs
+++ b/crates/core/src/membership/failure_detector.rs
@@ -5,6 +5,7 @@
 //! their refutations, and some refutations would arrive too late. A death is disseminated, and its subject can refute
 //! it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::Rng;
@@ -25,6 +26,8 @@
 const INDIRECT_PINGS: usize = 2;
 /// Time after which a dead instance that the platform no longer lists is removed.
 const DEAD_RETENTION: Duration = Duration::from_mins(1);
+/// Interval between two removals of such instances.
+const REMOVAL_PERIOD: Duration = Duration::from_secs(1);
 
 impl Membership {
     /// Performs the periodic work: sends pings and expires probes, suspicions and dead members.
@@ -68,21 +71,19 @@
     fn next_subjects(&mut self, rng: &mut SmallRng) -> Vec<InstanceId> {
         let mut subjects = Vec::new();
         while let Some(subject) = self.probe_round.pop() {
-            if self.members.get(&subject).is_some_and(|member| member.update.state != MemberState::Dead) {
+            if self.member(subject).is_some_and(|update| update.state != MemberState::Dead) {
                 subjects.push(subject);
                 break;
             }
         }
         if self.probe_round.is_empty() {
-            self.probe_round = self.members.keys().copied().collect();
+            self.probe_round = self.members.ids().collect();
             self.probe_round.shuffle(rng);
         }
         // A dead member is pinged too; otherwise the two sides of a healed partition would never rediscover each other.
-        let dead = self.members.values().filter(|member| member.update.state == MemberState::Dead);
-        subjects.extend(dead.map(|member| member.update.id).choose(rng));
+        subjects.extend(self.members.dead().iter().choose(rng));
         // A suspected member is pinged too, so that it learns of the suspicion immediately and can refute it.
-        let suspected = |member: &&Member| member.update.state == MemberState::Suspect;
-        subjects.extend(self.members.values().filter(suspected).map(|member| member.update.id).choose(rng));
+        subjects.extend(self.members.suspected().iter().choose(rng));
         subjects
     }
 
@@ -117,37 +118,43 @@
 
     fn suspect(&mut self, now: Timestamp, subject: InstanceId) {
         let transmit_limit = self.transmit_limit();
-        let Some(member) = self.members.get_mut(&subject) else { return };
         // A leaving member serves nothing any more, so declaring it dead without a suspicion timeout loses nothing.
-        let state = match member.update.state {
-            MemberState::Alive => MemberState::Suspect,
-            MemberState::Leaving => MemberState::Dead,
+        let state = match self.member(subject).map(|update| update.state) {
+            Some(MemberState::Alive) => MemberState::Suspect,
+            Some(MemberState::Leaving) => MemberState::Dead,
             _ => return,
         };
-        member.update.state = state;
-        member.since = now;
-        member.transmits_left = if state == MemberState::Suspect { 0 } else { transmit_limit };
+        let transmits_left = if state == MemberState::Suspect { 0 } else { transmit_limit };
+        self.enter_state(now, subject, state, transmits_left);
+    }
+
+    fn enter_state(&mut self, now: Timestamp, subject: InstanceId, state: MemberState, transmits_left: u32) {
+        self.members.modify(subject, |member| {
+            member.update.state = state;
+            member.since = now;
+            member.transmits_left = transmits_left;
+        });
         self.changes.push((subject, state));
     }
 
     /// Declares members dead whose suspicion timed out, and removes those that have been dead for long enough.
     fn expire_members(&mut self, now: Timestamp) {
         let transmit_limit = self.transmit_limit();
-        let suspicion = self.tuning.suspicion;
-        for member in self.members.values_mut() {
-            let overdue = now.saturating_sub(member.since) >= suspicion;
-            if member.update.state == MemberState::Suspect && overdue {
-                member.update.state = MemberState::Dead;
-                member.since = now;
-                member.transmits_left = transmit_limit;
-                self.changes.push((member.update.id, MemberState::Dead));
+        for id in self.members_since(now, self.members.suspected(), self.tuning.suspicion) {
+            self.enter_state(now, id, MemberState::Dead, transmit_limit);
+        }
+        if now >= self.next_removal {
+            self.next_removal = now + REMOVAL_PERIOD;
+            for id in self.members_since(now, self.members.removable(), DEAD_RETENTION) {
+                self.members.remove(id);
             }
         }
-        let expired = |member: &Member| {
-            let dead = matches!(member.update.state, MemberState::Dead | MemberState::Listed);
-            dead && !member.listed && now.saturating_sub(member.since) >= DEAD_RETENTION
-        };
-        self.members.retain(|_, member| !expired(member));
+    }
+
+    /// Returns those of `ids` that have been in their state for at least `span`.
+    fn members_since(&self, now: Timestamp, ids: &BTreeSet<InstanceId>, span: Duration) -> Vec<InstanceId> {
+        let overdue = |member: &Member| now.saturating_sub(member.since) >= span;
+        ids.iter().copied().filter(|id| self.members.get(*id).is_some_and(overdue)).collect()
     }
 
     /// Records that an instance could not be reached at all, so that its pings time out immediately.
@@ -175,11 +182,9 @@
     }
 
     /// Restarts the suspicion timeout of a member that has just responded; it refutes the suspicion itself.
-    fn restart_suspicion(&mut self, now: Timestamp, subject: InstanceId) {
-        if let Some(member) = self.members.get_mut(&subject)
-            && member.update.state == MemberState::Suspect
-        {
-            member.since = now;
+    pub(super) fn restart_suspicion(&mut self, now: Timestamp, subject: InstanceId) {
+        if self.members.suspected().contains(&subject) {
+            self.members.modify(subject, |member| member.since = now);
         }
     }
 
@@ -191,6 +196,6 @@
         requester: InstanceId,
         sequence: Sequence,
     ) -> Option<ProbeMessage> {
-        self.members.contains_key(&subject).then(|| self.ping(now, subject, Some((requester, sequence))))
+        self.member(subject).is_some().then(|| self.ping(now, subject, Some((requester, sequence))))
     }
 }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -17,12 +17,14 @@
 mod anti_entropy;
 mod dissemination;
 mod failure_detector;
+mod table;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 pub use self::anti_entropy::ViewDigest;
 pub use self::dissemination::PeerView;
+use self::table::MemberTable;
 use crate::Timestamp;
 use crate::event::InstanceList;
 use crate::event::ListedInstance;
@@ -106,11 +108,12 @@
 pub struct Membership {
     me: MemberUpdate,
     tuning: Tuning,
-    members: BTreeMap<InstanceId, Member>,
+    members: MemberTable,
     probe_round: Vec<InstanceId>,
     probes: BTreeMap<Sequence, Probe>,
     next_sequence: Sequence,
     next_ping: Timestamp,
+    next_removal: Timestamp,
     last_contact: Option<Timestamp>,
     list_version: u64,
     changes: Vec<(InstanceId, MemberState)>,
@@ -136,11 +139,12 @@
         Self {
             me,
             tuning,
-            members: BTreeMap::new(),
+            members: MemberTable::default(),
             probe_round: Vec::new(),
             probes: BTreeMap::new(),
             next_sequence: 1,
             next_ping: Timestamp::ZERO,
+            next_removal: Timestamp::ZERO,
             last_contact: None,
             list_version: 0,
             changes: Vec::new(),
@@ -159,7 +163,7 @@
     /// Returns what is known of another instance.
     #[must_use]
     pub fn member(&self, id: InstanceId) -> Option<&MemberUpdate> {
-        self.members.get(&id).map(|member| &member.update)
+        self.members.get(id).map(|member| &member.update)
     }
 
     /// Returns what is known of all other instances.
@@ -212,11 +216,17 @@
         })
     }
 
+    /// Returns the number of serving instances, including this one if it serves.
+    #[must_use]
+    pub fn serving_count(&self) -> usize {
+        self.members.serving() + usize::from(matches!(self.me.state, MemberState::Alive | MemberState::Suspect))
+    }
+
     /// Returns whether a message from a peer arrived within the lease, so that the view can be trusted, or no other
     /// instance is considered alive.
     #[must_use]
     pub fn has_recent_contact(&self, now: Timestamp) -> bool {
-        let alone = !self.members().any(|update| matches!(update.state, MemberState::Alive | MemberState::Suspect));
+        let alone = self.members.serving() == 0;
         alone || self.last_contact.is_some_and(|at| now.saturating_sub(at) < self.tuning.lease)
     }
 
@@ -242,7 +252,10 @@
             return;
         }
         self.list_version = list.version;
-        self.members.values_mut().for_each(|member| member.listed = false);
+        let ids: Vec<InstanceId> = self.members.ids().collect();
+        for id in ids {
+            self.members.modify(id, |member| member.listed = false);
+        }
         let me = self.me.id;
         for entry in list.instances.iter().filter(|entry| entry.id != me) {
             self.apply_list_entry(now, entry);
@@ -259,16 +272,19 @@
             control: entry.control,
             forward: entry.forward,
         };
-        let member = self.members.entry(entry.id).or_insert(Member {
-            update: placeholder,
-            since: now,
-            listed: true,
-            transmits_left: 0,
+        if self.member(entry.id).is_none() {
+            self.members.insert(Member { update: placeholder, since: now, listed: true, transmits_left: 0 });
+        }
+        let starts_leaving = self.members.modify(entry.id, |member| {
+            member.listed = true;
+            let starts_leaving = entry.leaving && member.update.state == MemberState::Alive;
+            if starts_leaving {
+                member.update.state = MemberState::Leaving;
+                member.since = now;
+            }
+            starts_leaving
         });
-        member.listed = true;
-        if entry.leaving && member.update.state == MemberState::Alive {
-            member.update.state = MemberState::Leaving;
-            member.since = now;
+        if starts_leaving == Some(true) {
             self.changes.push((entry.id, MemberState::Leaving));
         }
     }
@@ -279,11 +295,8 @@
         self.merge_update(now, sender);
         // A message from the subject restarts a local suspicion's timeout. The subject refutes the suspicion itself
         // once it learns of it.
-        if let Some(member) = self.members.get_mut(&sender.id) {
-            let current = member.update.incarnation == sender.incarnation;
-            if current && member.update.state == MemberState::Suspect {
-                member.since = now;
-            }
+        if self.member(sender.id).is_some_and(|update| update.incarnation == sender.incarnation) {
+            self.restart_suspicion(now, sender.id);
         }
     }
 
@@ -303,23 +316,21 @@
         if update.state == MemberState::Listed {
             return;
         }
-        let transmit_limit = self.transmit_limit();
-        match self.members.get_mut(&update.id) {
-            None => {
-                let member =
-                    Member { update: update.clone(), since: now, listed: false, transmits_left: transmit_limit };
-                self.members.insert(update.id, member);
-                self.changes.push((update.id, update.state));
-            }
-            Some(member) if update.rank() > member.update.rank() => {
-                if member.update.state != update.state || member.update.incarnation != update.incarnation {
-                    self.changes.push((update.id, update.state));
-                    member.since = now;
-                }
-                member.update = update.clone();
-                member.transmits_left = transmit_limit;
-            }
-            Some(_) => {}
+        let transmits_left = self.transmit_limit();
+        let Some(member) = self.members.get(update.id) else {
+            self.members.insert(Member { update: update.clone(), since: now, listed: false, transmits_left });
+            self.changes.push((update.id, update.state));
+            return;
+        };
+        let known = &member.update;
+        if update.rank() <= known.rank() {
+            return;
+        }
+        let changed = known.state != update.state || known.incarnation != update.incarnation;
+        let (since, listed) = (if changed { now } else { member.since }, member.listed);
+        self.members.insert(Member { update: update.clone(), since, listed, transmits_left });
+        if changed {
+            self.changes.push((update.id, update.state));
         }
     }
 
--- a/crates/core/tests/direct/convergence.rs
+++ b/crates/core/tests/direct/convergence.rs
@@ -19,6 +19,7 @@
 use hawthornshift_core::direct::message::MAX_DATAGRAM_BYTES;
 use hawthornshift_core::membership::Identity;
 use hawthornshift_core::membership::Membership;
+use hawthornshift_core::membership::PeerView;
 use hawthornshift_core::message::MemberState;
 use hawthornshift_core::message::MemberUpdate;
 use hawthornshift_core::tuning::Tuning;
@@ -195,7 +196,38 @@
     }
 }
 
+/// Returns what heartbeats state of a view, computed from all members: the hash of the view that another instance with
+/// the same members states, and the number of serving instances.
+fn scanned(membership: &Membership) -> (u64, usize) {
+    let mut copy = member(membership.me().id);
+    copy.merge_updates(Timestamp::ZERO, &membership.handover());
+    let serves = |update: &&MemberUpdate| matches!(update.state, MemberState::Alive | MemberState::Suspect);
+    (copy.digest().combined_hash(), membership.members().filter(serves).count() + 1)
+}
+
 proptest! {
+    /// A hash or a count that misses a change of a member would make instances compare their views for ever, or send
+    /// their reports to the wrong group.
+    #[test]
+    fn what_is_stated_of_a_view_follows_every_change(
+        steps in proptest::collection::vec((update(), 0_u64..900, 0_u32..3), 1..120),
+    ) {
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut membership = member(1);
+        let mut now = Timestamp::ZERO;
+        for (update, wait_ms, recipients) in &steps {
+            now += ms(*wait_ms);
+            membership.merge_update(now, update);
+            // Nobody answers the pings, so members are suspected and die, and are removed in the end.
+            membership.tick(now, &mut rng);
+            for to in 0..*recipients {
+                membership.piggyback_updates(update.id + to, PeerView::Unknown);
+            }
+            let stated = (membership.digest().combined_hash(), membership.serving_count());
+            assert_eq!(stated, scanned(&membership));
+        }
+    }
+
     /// Messages are lost, repeated and reordered. Whichever updates each instance has received, the views must be equal
     /// after a digest exchange.
     #[test]
--- a/crates/direct/src/process/store_updates.rs
+++ b/crates/direct/src/process/store_updates.rs
@@ -179,11 +179,15 @@
 
     /// Fetches a snapshot from a peer or from the store while the instance is not synced.
     pub(super) fn fetch_snapshot(&mut self, now: Timestamp) {
-        let (up_to_date, others) = (self.fleet.up_to_date_peers(), self.fleet.reachable());
-        if let Some(peer) = self.bootstrap.ask(now, &up_to_date, &others, &mut rand::rng()) {
-            self.pull(peer);
+        if self.bootstrap.is_ask_due(now) {
+            let (up_to_date, others) = (self.fleet.up_to_date_peers(), self.fleet.reachable());
+            if let Some(peer) = self.bootstrap.ask(now, &up_to_date, &others, &mut rand::rng()) {
+                self.pull(peer);
+            }
         }
-        if self.bootstrap.should_read_store(now, self.fleet.rank(), self.fleet.watcher_role()) {
+        if self.bootstrap.may_read_store(now)
+            && self.bootstrap.should_read_store(now, self.fleet.rank(), self.fleet.watcher_role())
+        {
             self.fleet.watcher_role_mut().start(now);
             self.change_watcher_role(RoleChange::Start);
         }
