Let the regular timers of an instance wait for its other events

Cause: an idle instance was woken 40 times a second by two timers of 50 ms that mostly found nothing to do, and each review of reachability scanned the records of all targets. Change: the review of open requests and the fleet's tick run at the next event after 50 ms, and at the latest after 100 ms while nothing is open, waiting, under check or overloaded; what is due at a time of its own (pings and their timeouts, announcements, handshakes, waiting flows) still is. Checks are sought only among targets that may have a reason for one. The pause detector keeps its bound of 400 ms between two iterations.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -271,7 +271,7 @@
         group.bench_function(BenchmarkId::new("store-update", targets), |b| {
             b.iter(|| {
                 revision += 1;
-                let spec = TargetSpec { draining: revision % 2 == 0, ..target_spec(1) };
+                let spec = TargetSpec { draining: revision.is_multiple_of(2), ..target_spec(1) };
                 let entry = StoreEntry::Target(target_id(1), Some(spec));
                 let entries = vec![VersionedEntry { revision, entry }];
                 let delta = Delta { since: revision - 1, revision, is_snapshot: false, entries };
--- a/crates/core/src/direct/dispatcher/timers.rs
+++ b/crates/core/src/direct/dispatcher/timers.rs
@@ -25,8 +25,11 @@
 /// Delay of a timer from which its handshake is not evaluated at all: packets that the caller sent meanwhile may be
 /// lost.
 const LONG_PAUSE: Duration = Duration::from_millis(200);
-/// Interval between two reviews of the open requests.
+/// Minimum interval between two reviews of the open requests.
 const REVIEW_PERIOD: Duration = Duration::from_millis(50);
+/// Additional time for which a review waits for another event while there is nothing to review, so that an idle instance
+/// is not woken only for that.
+const IDLE_REVIEW_DELAY: Duration = Duration::from_millis(50);
 /// Divisor of the number of a service's targets: at most one of this many, and at least one target, may be ejected
 /// for overdue answers.
 const MAX_EJECTED_DIVISOR: usize = 4;
@@ -47,7 +50,7 @@
             self.handle_pending_timeout(now, pending, effects);
         }
         if now >= self.next_review {
-            let late = now.saturating_sub(self.next_review);
+            let late = now.saturating_sub(self.review_due());
             self.next_review = now + REVIEW_PERIOD;
             if late >= LONG_PAUSE {
                 self.checks.process_paused(now);
@@ -211,7 +214,30 @@
     /// Returns the time of the next timer, at which [`Dispatcher::tick`] is to be called.
     #[must_use]
     pub fn next_due(&self) -> Timestamp {
-        let dues = [self.flows.next_due(), self.pending.next_due(), Some(self.next_review)];
-        dues.into_iter().flatten().min().unwrap_or(self.next_review)
+        let dues = [self.flows.next_due(), self.pending.next_due()];
+        dues.into_iter().flatten().fold(self.review_due(), Timestamp::min)
+    }
+
+    /// Returns whether a timer is due, or may run now because the instance is awake.
+    #[must_use]
+    pub fn may_tick(&self, now: Timestamp) -> bool {
+        now >= self.next_review || now >= self.next_due()
+    }
+
+    /// Returns the time by which the open requests are to be reviewed.
+    fn review_due(&self) -> Timestamp {
+        if self.is_idle() { self.next_review + IDLE_REVIEW_DELAY } else { self.next_review }
+    }
+
+    /// Returns whether a review would find nothing: no request is open here, no flow waits, no check is under way or
+    /// due, and no service is or was overloaded.
+    fn is_idle(&self) -> bool {
+        !self.open_requests.has_local()
+            && self.pending.is_empty()
+            && self.early_syns.is_empty()
+            && !self.checks.is_active()
+            && self.adaptive_limits.count() == 0
+            && self.slot_quotas.in_force().next().is_none()
+            && !self.link.has_heavy_flows()
     }
 }
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -468,6 +468,16 @@
         Some(FleetEffect::Changed)
     }
 
+    /// Returns the time of the next timer that must not wait for [`Fleet::tick`]'s regular interval.
+    #[must_use]
+    pub fn next_due(&self) -> Timestamp {
+        let seed_ping = (!self.has_contact).then_some(self.next_seed_ping);
+        let change = self.change_pending.then_some(self.next_change_at);
+        let fetch = self.pending_fetch.map(PendingFetch::due_at);
+        let dues = [seed_ping, change, fetch, self.watcher_role.next_due(), self.view_sync.next_due()];
+        dues.into_iter().flatten().fold(self.membership.next_due(), Timestamp::min)
+    }
+
     /// Performs the periodic work: pings, the watcher role and announcements.
     pub fn tick(&mut self, now: Timestamp, revision: Revision) -> Vec<FleetEffect> {
         let mut effects = Vec::new();
--- a/crates/core/src/direct/fleet/store_updates.rs
+++ b/crates/core/src/direct/fleet/store_updates.rs
@@ -48,6 +48,12 @@
     due_at: Timestamp,
 }
 
+impl PendingFetch {
+    pub(super) fn due_at(self) -> Timestamp {
+        self.due_at
+    }
+}
+
 impl Fleet {
     /// Returns the messages that announce a change of the store to all instances. `delta` is included only if it fits
     /// in a datagram.
--- a/crates/core/src/direct/fleet/view_sync.rs
+++ b/crates/core/src/direct/fleet/view_sync.rs
@@ -85,6 +85,12 @@
         should_request
     }
 
+    /// Returns when a request to an arbitrary member is due, or `None` while no such request is needed.
+    pub(super) fn next_due(&self) -> Option<Timestamp> {
+        let last_request = self.last_request.filter(|_| self.fast);
+        last_request.map(|last_request| last_request + self.fast_period)
+    }
+
     /// Records that an answer brought new members, so that more are likely to follow.
     pub(super) fn progress_made(&mut self) {
         self.fast_period = INITIAL_FAST_PERIOD;
--- a/crates/core/src/direct/link_budget.rs
+++ b/crates/core/src/direct/link_budget.rs
@@ -252,6 +252,12 @@
         self.enabled
     }
 
+    /// Returns whether flows of many bytes may be open on a narrow link.
+    #[must_use]
+    pub fn has_heavy_flows(&self) -> bool {
+        !self.heavy.is_empty()
+    }
+
     /// Records a packet of a caller.
     pub fn received(&mut self, now: Timestamp, segment: &Segment) {
         if !self.enabled {
--- a/crates/core/src/direct/open_requests.rs
+++ b/crates/core/src/direct/open_requests.rs
@@ -179,6 +179,12 @@
         }
     }
 
+    /// Returns whether any open request's packets pass through this instance.
+    #[must_use]
+    pub fn has_local(&self) -> bool {
+        !self.local_counts.is_empty()
+    }
+
     /// Returns the targets of open requests whose packets pass through this instance, and how many each of them has.
     pub fn local_counts(&self) -> impl Iterator<Item = (TargetId, u32)> {
         self.local_counts.iter().map(|(target, count)| (*target, *count))
--- a/crates/core/src/direct/pause.rs
+++ b/crates/core/src/direct/pause.rs
@@ -10,7 +10,7 @@
 use crate::Timestamp;
 
 /// Time between two iterations of the event loop from which the process is considered to have been paused. Iterations
-/// are at most 50 ms apart.
+/// are at most 100 ms apart.
 const MIN_PAUSE: Duration = Duration::from_millis(400);
 
 /// Both clocks at the last iteration of the event loop.
--- a/crates/core/src/direct/reachability.rs
+++ b/crates/core/src/direct/reachability.rs
@@ -172,6 +172,12 @@
         true
     }
 
+    /// Returns whether there may be a reason to check the target, now or later, or a check is under way.
+    fn may_need_check(&self) -> bool {
+        let Self { unanswered_since, check_started_at, check_requested, finding, .. } = self;
+        unanswered_since.is_some() || check_started_at.is_some() || *check_requested || finding.is_some()
+    }
+
     /// Schedules the next check of a target that is out of reach, after one that did not succeed. Only a conclusive
     /// failure renews the finding.
     fn recheck_later(&mut self, now: Timestamp, conclusive: bool) {
@@ -216,6 +222,8 @@
     records: FixedHashMap<TargetId, Record>,
     /// Targets that are gone or have a finding, valid or not. It is empty nearly always, which keeps placement fast.
     marked: FixedHashSet<TargetId>,
+    /// Targets that may have a reason for a check: an outstanding answer, a request of a peer or a finding.
+    watched: FixedHashSet<TargetId>,
     /// Whether findings never expire, for an experiment.
     keep_findings: bool,
     /// Start of the latest check whose connection was accepted.
@@ -235,6 +243,13 @@
     /// Records that a packet that a target has to answer was sent to it.
     pub fn sent(&mut self, now: Timestamp, target: TargetId) {
         self.records.entry(target).or_default().unanswered_since.get_or_insert(now);
+        self.watched.insert(target);
+    }
+
+    /// Returns whether any target may have a reason for a check, as of the last call of [`Self::take_due`].
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        !self.watched.is_empty()
     }
 
     /// Records a response of a target. Returns whether the target counted as out of reach.
@@ -279,6 +294,7 @@
         let new = record.conclude(now, false);
         if new {
             self.marked.insert(target);
+            self.watched.insert(target);
             self.changes.push(record.change(now, target, Reachability::OutOfReach));
         }
         new
@@ -307,6 +323,7 @@
     /// Records that another instance requests a check of a target.
     pub fn request_check(&mut self, target: TargetId) {
         self.records.entry(target).or_default().check_requested = true;
+        self.watched.insert(target);
     }
 
     /// Restarts the answer deadline of each target, after this process was paused. Answers may have arrived that have
@@ -335,10 +352,14 @@
     /// time of a target. Targets with overdue answers are checked before those that are only checked again.
     pub fn take_due(&mut self, now: Timestamp, usual: impl Fn(TargetId) -> Duration) -> Vec<TargetId> {
         self.expire_findings(now);
-        let mut under_way = self.records.values().filter(|record| record.check_started_at.is_some()).count();
+        let records = &mut self.records;
+        self.watched.retain(|target| records.get(target).is_some_and(Record::may_need_check));
+        let is_under_way = |target: &&TargetId| records.get(*target).is_some_and(|it| it.check_started_at.is_some());
+        let mut under_way = self.watched.iter().filter(is_under_way).count();
         let mut due = Vec::new();
         for recheck in [false, true] {
-            for (target, record) in &mut self.records {
+            for target in &self.watched {
+                let Some(record) = records.get_mut(target) else { continue };
                 let overdue = usual(*target).mul_f64(OVERDUE_RATIO).clamp(OVERDUE_MIN, OVERDUE_MAX);
                 let is_overdue = record.unanswered_since.is_some_and(|since| now.saturating_sub(since) >= overdue);
                 let is_recheck = recheck && record.finding.is_some() && !self.keep_findings;
@@ -363,11 +384,12 @@
         if self.keep_findings || self.marked.is_empty() {
             return;
         }
-        for (target, record) in &mut self.records {
+        for target in self.marked.iter().copied().collect::<Vec<_>>() {
+            let Some(record) = self.records.get_mut(&target) else { continue };
             let renewed_at = record.finding.map(|finding| finding.renewed_at);
             if renewed_at.is_some_and(|at| now.saturating_sub(at) >= FAILURE_VALIDITY) && record.gone_at.is_none() {
-                self.marked.remove(target);
-                self.changes.extend(record.end_finding(now, *target));
+                self.marked.remove(&target);
+                self.changes.extend(record.end_finding(now, target));
             }
         }
     }
@@ -406,6 +428,7 @@
         record.failed_at = now;
         if record.conclude(now, alone) {
             self.marked.insert(target);
+            self.watched.insert(target);
             self.changes.push(record.change(now, target, Reachability::OutOfReach));
             return Finding::OutOfReach;
         }
--- a/crates/core/src/direct/watch.rs
+++ b/crates/core/src/direct/watch.rs
@@ -164,6 +164,12 @@
         self.next_announcement = now;
     }
 
+    /// Returns when the next announcement is due, or `None` while this instance does not watch the store.
+    #[must_use]
+    pub fn next_due(&self) -> Option<Timestamp> {
+        (self.watching && self.last_answer.is_some()).then_some(self.next_announcement)
+    }
+
     /// Returns an announcement if one is due.
     pub fn announcement(&mut self, now: Timestamp, revision: u64) -> Option<Announcement> {
         let last_answer = self.last_answer?;
--- a/crates/core/src/membership/failure_detector.rs
+++ b/crates/core/src/membership/failure_detector.rs
@@ -43,6 +43,18 @@
         messages
     }
 
+    /// Returns the time of the next ping or of the next timeout of one, whichever is earlier. Suspicions may be expired
+    /// somewhat later than they end.
+    #[must_use]
+    pub fn next_due(&self) -> Timestamp {
+        let timeout = self.tuning.ping_timeout;
+        let timeouts = self.probes.values().map(|probe| {
+            let retried = probe.indirect || probe.requested_by.is_some();
+            probe.sent + if retried { timeout * 2 } else { timeout }
+        });
+        timeouts.fold(self.next_ping, Timestamp::min)
+    }
+
     /// Pings several random members at once, to refresh a view that may be outdated.
     pub fn refresh(&mut self, now: Timestamp, rng: &mut SmallRng, count: usize) -> Vec<ProbeMessage> {
         let candidates = self.members().filter(|update| update.state != MemberState::Dead);
--- a/crates/core/tests/direct/directory.rs
+++ b/crates/core/tests/direct/directory.rs
@@ -134,7 +134,7 @@
         2 => StoreEntry::Target(target_id(index), Some(TargetSpec { service: "other".to_owned(), slots: 5, ..spec })),
         3 => StoreEntry::Target(target_id(index % 2) + (1 << 32), Some(spec)),
         4 => StoreEntry::Target(target_id(index), None),
-        _ => StoreEntry::Evacuated(domain(index), revision % 2 == 0),
+        _ => StoreEntry::Evacuated(domain(index), revision.is_multiple_of(2)),
     }
 }
 
--- a/crates/core/tests/direct/search_work.rs
+++ b/crates/core/tests/direct/search_work.rs
@@ -89,7 +89,7 @@
 fn flows_are_spread_over_all_targets_of_the_own_domain() {
     let targets = 4_800;
     let (mut placed, _) = place(&mut dispatcher(targets), 600);
-    assert!(placed.iter().all(|id| (id - target_id(0)) % DOMAINS as u64 == 0), "some left the failure domain");
+    assert!(placed.iter().all(|id| (id - target_id(0)).is_multiple_of(DOMAINS as u64)), "some left the failure domain");
     placed.sort_unstable();
     placed.dedup();
     assert!(placed.len() > 500, "600 flows reached {} targets", placed.len());
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -67,8 +67,13 @@
 /// Maximum of packets of callers, and of messages of peers, read in one turn of the loop, so that neither delays the other
 /// or the timers.
 const READ_BATCH: usize = 64;
-/// Period of fleet ticks (heartbeats, announcements) and of readiness updates.
+/// Minimum interval between two regular fleet ticks (heartbeats, announcements) and updates of readiness.
 const FLEET_TICK_PERIOD: Duration = Duration::from_millis(50);
+/// Minimum interval between two fleet ticks, whatever is due.
+const MIN_FLEET_TICK_PERIOD: Duration = Duration::from_millis(5);
+/// Additional time for which a regular fleet tick waits for another event, so that an idle instance is not woken only for
+/// that. With it, two iterations of the loop are at most 100 ms apart.
+const FLEET_TICK_DELAY: Duration = Duration::from_millis(50);
 /// Period of checks for a changed settings file, which may change without a signal.
 const SETTINGS_CHECK_PERIOD: Duration = Duration::from_secs(2);
 /// Maximum of instances that one log line names as joined, and as left.
@@ -101,7 +106,8 @@
     is_directory_behind: bool,
     bootstrap: Bootstrap,
     changes: ChangeLog,
-    next_fleet_tick: Timestamp,
+    /// When the last fleet tick ran; `None` to run one at once.
+    last_fleet_tick: Option<Timestamp>,
     next_settings_check: Timestamp,
     effects: Vec<Effect>,
     cancel: CancellationToken,
@@ -160,7 +166,7 @@
             is_directory_behind: false,
             bootstrap,
             changes: ChangeLog::default(),
-            next_fleet_tick: Timestamp::ZERO,
+            last_fleet_tick: None,
             next_settings_check: SETTINGS_CHECK_PERIOD,
             effects: Vec::new(),
             cancel,
@@ -212,13 +218,19 @@
     }
 
     fn next_due(&self) -> Timestamp {
-        let due = self.dispatcher.next_due().min(self.next_fleet_tick);
+        let due = self.dispatcher.next_due().min(self.fleet_tick_due(FLEET_TICK_PERIOD + FLEET_TICK_DELAY));
         if self.dispatcher.directory().is_synced() || self.is_pulling {
             return due;
         }
         due.min(self.bootstrap.next_due(self.fleet.watcher_role().should_read()))
     }
 
+    /// Returns when the next fleet tick is due: when one of the fleet's timers is, or after `regular_period`.
+    fn fleet_tick_due(&self, regular_period: Duration) -> Timestamp {
+        let Some(last) = self.last_fleet_tick else { return Timestamp::ZERO };
+        self.fleet.next_due().max(last + MIN_FLEET_TICK_PERIOD).min(last + regular_period)
+    }
+
     fn begin_stop(&mut self) {
         if self.stopping.is_some() {
             return;
@@ -228,7 +240,7 @@
         self.ready.store(false, Ordering::Relaxed);
         self.stopping = Some(Stopping::new(now, self.config.platform.grace_period));
         self.fleet.leave(now);
-        self.next_fleet_tick = now;
+        self.last_fleet_tick = None;
     }
 
     fn announce_departure(&mut self) {
@@ -385,17 +397,17 @@
 
     fn tick(&mut self) {
         let now = self.now();
-        if now >= self.dispatcher.next_due() {
+        if self.dispatcher.may_tick(now) {
             self.dispatcher.tick(now, &mut self.effects);
             self.execute_effects();
         }
         if !self.dispatcher.directory().is_synced() {
             self.fetch_snapshot(now);
         }
-        if now < self.next_fleet_tick {
+        if now < self.fleet_tick_due(FLEET_TICK_PERIOD) {
             return;
         }
-        self.next_fleet_tick = now + FLEET_TICK_PERIOD;
+        self.last_fleet_tick = Some(now);
         let effects = self.fleet.tick(now, self.dispatcher.directory().revision());
         self.execute_fleet_effects(effects);
         self.log_changes(now);
