Restart a fleet of any size from a few reads of the store and by invitation

Cause: after all instances were killed each one was ready 1.8 to 2.4 s after its start. The number of readers and of requests to one instance grew with the fleet. Ruled out: processor time (0.5 of 0.12 to 0.5 cores at the busiest), discovery of the members (1 s for all, needed for none of this). Change: the rank for reading the store is estimated from the number of instances that the seeds report; instances on fast links read first, and those that no seed has answered yet wait 100 ms. An instance with the state invites as many peers as it can serve, by a heartbeat to each, while several report that they have none. The sender of an announcement is asked after a delay that grows with the fleet. A peer without state refuses requests. Seeds are pinged every 20 ms until one responds. In virtual time at 584 and 1,168 instances: all have the state within 1.11 and 1.06 s, 16 and 12 read the store (bound: 2 s and 24). An instance without seeds still reads the store at once; one whose seeds do not answer reads it 100 ms later than before.

--- a/crates/core/src/direct/bootstrap.rs
+++ b/crates/core/src/direct/bootstrap.rs
@@ -1,10 +1,15 @@
 //! Bootstrap of an instance: it fetches its initial state from a peer or from the store.
 //!
-//! The schedule limits the load when all instances of a large fleet restart at once after a power loss. If 296
-//! instances read 3,000 entries from the store together, they saturate the store's link for two seconds. If they all
-//! pull from the first instance that announces itself, they saturate that instance's link for longer. Therefore few
-//! instances read the store, in turns by rank, and those on slow links after those on fast links. The others ask
-//! peers that are known to be up to date, and each of those transfers its state to a few peers at a time.
+//! The schedule limits the load when all instances of a large fleet restart at once after a power loss, whatever their
+//! number. If dozens of instances read thousands of entries from the store together, they share its link and none is done
+//! for a second. If all pull from the first instance that has the state, that one answers nobody.
+//!
+//! Therefore few instances read the store, in turns by rank, and those on slow links after those on fast links. In the
+//! first moments an instance knows too few others to tell its rank, so it estimates it from the number of instances that
+//! the seeds report, since all starting instances contact these first. The others wait for an invitation: an instance that
+//! has the state sends it to as many peers as it serves at a time, which then invite others, so the number of sources grows
+//! by a factor with each round. An announcement, which reaches all instances at once, only makes them ask its sender after
+//! a delay that grows with the fleet.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -25,6 +30,12 @@
 const ASK_PERIOD: Duration = Duration::from_millis(60);
 /// Time after the read delay from which any peer is asked, even one that has not announced that it is up to date.
 const ASK_ANY_PEER_DELAY: Duration = Duration::from_millis(300);
+/// Part of the interval between two requests to peers that have not announced that they are up to date, for each known
+/// instance: together the instances of a fleet of any size send one such request in this time.
+const ASK_ANY_PERIOD_PER_INSTANCE: Duration = Duration::from_millis(2);
+/// Delay of the request to the sender of an announcement, for each known instance. One instance transfers its state to
+/// three others in the time in which twenty are asked to wait.
+const ANNOUNCED_DELAY_PER_INSTANCE: Duration = Duration::from_millis(2);
 /// Interval between two attempts to select a peer while there is none to ask.
 const PEER_POLL_PERIOD: Duration = Duration::from_millis(10);
 /// Minimum delay before the next request after a peer has refused one because it is busy, which it reports at once.
@@ -40,13 +51,68 @@
 /// Until the first instances have them, one more group of readers in each turn keeps the store's link below a tenth
 /// of its capacity.
 const TURN_PERIOD: Duration = Duration::from_millis(250);
+/// Interval between two turns of instances on fast links that do not know all others yet. Few links may be fast, so the
+/// first of them may have a high rank; one that reads is done before three more turns have begun.
+const FAST_LINK_TURN_PERIOD: Duration = Duration::from_millis(40);
 /// Maximum delay of an instance's turn. By then the earlier readers should have transferred the state to it, or are
 /// unable to.
 const MAX_TURN_DELAY: Duration = Duration::from_secs(2);
 /// Bandwidth in Mbit/s below which a link is slow. The fast instances of a mixed fleet have 200 Mbit/s or more.
 const SLOW_LINK_MBPS: f64 = 50.0;
+/// Additional delay while no seed has responded. When all instances lose power, the seeds start some time after the first
+/// of the others, which would all read the store if they took themselves for alone.
+const SEED_WAIT: Duration = Duration::from_millis(100);
 /// Additional delay of an instance on a slow link, in favor of those on faster links.
 const SLOW_LINK_DELAY: Duration = Duration::from_millis(120);
+/// [`SLOW_LINK_DELAY`] of an instance that does not know all others yet. A read over a slow link takes a second and would be
+/// done later than the handovers that follow a read over a fast one.
+const SLOW_LINK_DELAY_AMONG_UNKNOWN: Duration = Duration::from_millis(400);
+/// What an instance knows of the others that may read the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Discovery {
+    /// Number of known live instances that precede this one in the ranking for the watcher role.
+    pub rank: u32,
+    /// Position of this instance in the ranking for the watcher role among all possible ids, from 0.0, first, to 1.0.
+    pub position: f64,
+    /// Number of known live instances, including this one.
+    pub known: u32,
+    /// Largest number of live instances that a peer has reported.
+    pub reported: u32,
+    /// Whether there are seeds and none of them, nor any other peer, has responded yet.
+    pub awaits_seeds: bool,
+}
+
+impl Discovery {
+    /// Returns whether this instance knows all others as far as its peers report.
+    fn is_complete(&self) -> bool {
+        self.known >= self.reported
+    }
+
+    /// Returns the rank that this instance probably has.
+    fn probable_rank(&self) -> u32 {
+        if self.is_complete() {
+            return self.rank;
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "between zero and the fleet's size"
+        )]
+        let rank = (self.position * f64::from(self.reported)) as u32;
+        rank.max(self.rank)
+    }
+}
+
+/// Peers that an instance may ask for its state.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sources<'a> {
+    /// Peers that have stated to this instance alone that they are up to date.
+    pub up_to_date: &'a [SocketAddr],
+    /// The latest sender of an announcement to all instances.
+    pub announced: Option<SocketAddr>,
+    /// All known peers.
+    pub others: &'a [SocketAddr],
+}
 
 /// Schedule of an instance's requests to peers and reads of the store until it has the complete state.
 #[derive(Clone, Copy, Debug)]
@@ -57,6 +123,10 @@
     ask_any_peer_after: Timestamp,
     slow_link: bool,
     next_ask: Timestamp,
+    /// When the sender of an announcement is to be asked; `None` before the first announcement.
+    ask_announced_at: Option<Timestamp>,
+    /// Fixed random number between zero and one that spreads instances which start together.
+    jitter: f64,
 }
 
 impl Bootstrap {
@@ -72,6 +142,8 @@
             ask_any_peer_after: read_after + ASK_ANY_PEER_DELAY,
             slow_link: link_mbps < SLOW_LINK_MBPS,
             next_ask: Timestamp::ZERO,
+            ask_announced_at: None,
+            jitter,
         }
     }
 
@@ -104,29 +176,42 @@
         now >= self.read_after
     }
 
-    /// Returns the peer to ask now, if a request is due: a random one of `up_to_date`, or else, once any peer may
-    /// be asked, a random one of `others`.
-    pub fn ask(
-        &mut self,
-        now: Timestamp,
-        up_to_date: &[SocketAddr],
-        others: &[SocketAddr],
-        rng: &mut impl Rng,
-    ) -> Option<SocketAddr> {
+    /// Returns the peer to ask now, if a request is due: a random one of those that are up to date, the sender of an
+    /// announcement once its delay is over, or, once any peer may be asked, a random one of the others.
+    pub fn ask(&mut self, now: Timestamp, sources: &Sources<'_>, rng: &mut impl Rng) -> Option<SocketAddr> {
         if !self.is_ask_due(now) {
             return None;
         }
-        let fallback_peers = if now < self.ask_any_peer_after { &[] } else { others };
-        let peer = up_to_date.choose(rng).or_else(|| fallback_peers.choose(rng)).copied();
+        let known = u32::try_from(sources.others.len()).unwrap_or(u32::MAX);
+        let mut peer = sources.up_to_date.choose(rng).copied();
+        if let Some(announced) = sources.announced.filter(|_| peer.is_none()) {
+            let delay = (ANNOUNCED_DELAY_PER_INSTANCE * known).mul_f64(self.jitter);
+            if now >= *self.ask_announced_at.get_or_insert(now + delay) {
+                peer = Some(announced);
+            }
+        }
+        let spread = (ASK_ANY_PERIOD_PER_INSTANCE * known).mul_f64(self.jitter);
+        if peer.is_none() && now >= self.ask_any_peer_after + spread {
+            peer = sources.others.choose(rng).copied();
+            self.ask_any_peer_after = now + ASK_PERIOD.max(ASK_ANY_PERIOD_PER_INSTANCE * known);
+        }
         self.next_ask = now + if peer.is_some() { ASK_PERIOD } else { PEER_POLL_PERIOD };
         peer
     }
 
-    /// Returns whether to read the store now. `rank` is the number of known instances that read before this one.
-    pub fn should_read_store(&mut self, now: Timestamp, rank: u32, role: &WatcherRole) -> bool {
-        let turn_delay = (TURN_PERIOD * (rank / self.concurrent_readers)).min(MAX_TURN_DELAY);
-        let slow_link_delay = if rank > 0 && self.slow_link { SLOW_LINK_DELAY } else { Duration::ZERO };
-        let due = self.read_after + turn_delay + slow_link_delay;
+    /// Returns whether to read the store now.
+    pub fn should_read_store(&mut self, now: Timestamp, discovery: &Discovery, role: &WatcherRole) -> bool {
+        let rank = discovery.probable_rank();
+        let is_fast_among_unknown = !self.slow_link && !discovery.is_complete();
+        let turn_period = if is_fast_among_unknown { FAST_LINK_TURN_PERIOD } else { TURN_PERIOD };
+        let turn_delay = (turn_period * (rank / self.concurrent_readers)).min(MAX_TURN_DELAY);
+        let slow_link_delay = match (self.slow_link, discovery.is_complete()) {
+            (true, true) if rank > 0 => SLOW_LINK_DELAY,
+            (true, false) => SLOW_LINK_DELAY_AMONG_UNKNOWN,
+            (true, true) | (false, _) => Duration::ZERO,
+        };
+        let seed_wait = if discovery.awaits_seeds { SEED_WAIT } else { Duration::ZERO };
+        let due = self.read_after + turn_delay + slow_link_delay + seed_wait;
         let overdue = now >= due + READ_FALLBACK_DELAY && !role.is_watching();
         let reads = overdue || (now >= due && role.should_read());
         if reads {
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod store_updates;
 mod view_sync;
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +27,7 @@
 use self::view_sync::ViewSync;
 use crate::Timestamp;
 use crate::direct::answer_time_report::AnswerTimeReport;
+use crate::direct::bootstrap::Discovery;
 use crate::direct::capacity_report::CapacityReport;
 use crate::direct::directory_lag::DirectoryLag;
 use crate::direct::directory_lag::MissingRevision;
@@ -58,8 +60,9 @@
 /// Each report costs a datagram to every member of the group. At 9 instances and 375 flows per second that is 0.3 MB/s
 /// in total, and it grows with the square of the group size.
 const MAX_SINGLE_GROUP_SIZE: usize = 16;
-/// Time between two rounds of pings to the seeds until a peer responds.
-const SEED_PING_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two rounds of pings to the seeds until a peer responds. It is short, since nothing can be served before
+/// and seeds that have not started yet do not notice.
+const SEED_PING_PERIOD: Duration = Duration::from_millis(20);
 /// Maximum number of seeds pinged per round; the platform lists at most three.
 const MAX_SEED_PINGS: usize = 8;
 /// Time between two pings to members. This is several times faster than the product's default: an instance that joins
@@ -81,6 +84,9 @@
 /// Maximum number of up-to-date peers to keep. It is large enough that instances which start together do not all
 /// contact the same few peers.
 const MAX_UP_TO_DATE_PEERS: usize = 16;
+/// Time for which a peer's report that it has no state counts. A peer that still has none reports it several times in
+/// between.
+const STATELESS_PEER_VALIDITY: Duration = Duration::from_millis(500);
 /// Key of the rendezvous hash that ranks instances for the watcher role.
 const WATCHER_RANK_KEY: u64 = 0x77_61_74_63_68;
 
@@ -120,6 +126,12 @@
     last_remote_domain_message: Option<Timestamp>,
     /// Peers that recently reported a store revision, most recent last.
     up_to_date_peers: VecDeque<SocketAddr>,
+    /// The sender of the latest announcement that arrived before this instance had any state.
+    announced_by: Option<SocketAddr>,
+    /// Largest number of serving instances that a peer has reported.
+    largest_report: u32,
+    /// Peers that recently reported that they have no state, and when.
+    stateless_peers: BTreeMap<InstanceId, Timestamp>,
     /// The highest revision that a peer announced and that is not known here yet, if any.
     pending_fetch: Option<PendingFetch>,
     directory_lag: DirectoryLag,
@@ -149,6 +161,9 @@
             started_at: now,
             last_remote_domain_message: None,
             up_to_date_peers: VecDeque::new(),
+            announced_by: None,
+            largest_report: 0,
+            stateless_peers: BTreeMap::new(),
             pending_fetch: None,
             directory_lag: DirectoryLag::default(),
             view_sync: ViewSync::default(),
@@ -249,6 +264,40 @@
         self.up_to_date_peers.iter().copied().collect()
     }
 
+    /// Returns the sender of the latest announcement that arrived before this instance had any state.
+    #[must_use]
+    pub fn announced_by(&self) -> Option<SocketAddr> {
+        self.announced_by
+    }
+
+    /// Returns what this instance knows of the others that may read the store.
+    #[must_use]
+    pub fn discovery(&self) -> Discovery {
+        let (key, _) = rank_key(self.membership.me().id);
+        #[expect(clippy::cast_precision_loss, reason = "a few digits are enough")]
+        let position = 1.0 - key as f64 / u64::MAX as f64;
+        // Seeds stay in the view until a message arrives from them.
+        let awaits_seeds = !self.has_contact && self.membership.members().next().is_some();
+        let (known, reported) = (self.serving_count(), self.largest_report);
+        Discovery { rank: self.rank(), position, known, reported, awaits_seeds }
+    }
+
+    /// Returns the messages that invite peers to ask this instance for its state, while several have none; `count` is the
+    /// number of them that it can serve now. A single one learns from the answers to its pings whom to ask.
+    pub fn invite(&mut self, now: Timestamp, revision: Revision, count: usize) -> Vec<FleetEffect> {
+        self.stateless_peers.retain(|_, at| now.saturating_sub(*at) < STATELESS_PEER_VALIDITY);
+        if self.stateless_peers.len() < 2 || revision == 0 {
+            return Vec::new();
+        }
+        let peers = self.membership.reachable().filter(|member| !self.up_to_date_peers.contains(&member.control));
+        let peers = peers.map(|member| member.id).choose_multiple(&mut self.rng, count);
+        let invite = |id| {
+            let heartbeat = self.heartbeat(now, id, 0, revision, PeerView::Unknown);
+            self.send_to_member(id, Message::Ack(heartbeat))
+        };
+        peers.into_iter().filter_map(invite).collect()
+    }
+
     /// Returns the addresses of all instances that appear to be alive.
     #[must_use]
     pub fn reachable(&self) -> Vec<SocketAddr> {
@@ -360,6 +409,10 @@
         revision: Revision,
     ) -> PeerView {
         self.membership.merge_updates(now, &heartbeat.members);
+        self.largest_report = self.largest_report.max(heartbeat.serving);
+        if heartbeat.revision == 0 && sender.state == MemberState::Alive {
+            self.stateless_peers.insert(sender.id, now);
+        }
         if heartbeat.revision > 0 {
             self.record_up_to_date_peer(sender.control);
             self.directory_lag.record_report(now, sender.id, sender.control, heartbeat.revision);
--- a/crates/core/src/direct/fleet/store_updates.rs
+++ b/crates/core/src/direct/fleet/store_updates.rs
@@ -115,6 +115,11 @@
         let ranks_before = rank_key(watcher.id) > rank_key(self.membership.me().id);
         let role_change = self.watcher_role.receive(now, watcher.id, &update.announcement, ranks_before);
         effects.extend(role_change.map(FleetEffect::RoleChange));
+        if revision == 0 {
+            // All instances that start together receive the announcement, and the watcher could not serve them all.
+            self.announced_by = Some(watcher.control);
+            return effects;
+        }
         self.record_up_to_date_peer(watcher.control);
         effects.extend(self.check_announcement(now, sender, update, known_revision));
         effects
--- a/crates/core/tests/direct/convergence.rs
+++ b/crates/core/tests/direct/convergence.rs
@@ -53,6 +53,22 @@
     }
 }
 
+/// All instances lose power and start again without any state while callers wait. The first ones that have it, from the
+/// store, must not be asked by all others at once, and the store's link must not be shared by dozens of readers.
+#[test]
+fn a_fleet_that_lost_power_has_its_state_within_two_seconds() {
+    for count in [100, 584, 1_168] {
+        let mut fleet = Members::starting(9, count);
+        fleet.run(ms(400));
+        fleet.lose_power();
+        fleet.run(Duration::from_secs(3));
+        let times = fleet.times_to_state();
+        let slowest = times[times.len() - 1];
+        assert!(slowest.is_some_and(|time| time <= Duration::from_secs(2)), "{count} instances: {slowest:?}");
+        assert!(fleet.store_reads <= 24, "{count} instances: {} store reads", fleet.store_reads);
+    }
+}
+
 /// One instance joins a running fleet.
 #[test]
 fn a_joining_instance_is_known_everywhere_within_two_seconds() {
--- a/crates/core/tests/direct/members.rs
+++ b/crates/core/tests/direct/members.rs
@@ -16,6 +16,8 @@
 
 use crate::fleet::ms;
 use hawthornshift_core::Timestamp;
+use hawthornshift_core::direct::bootstrap::Bootstrap;
+use hawthornshift_core::direct::bootstrap::Sources;
 use hawthornshift_core::direct::fleet::Fleet;
 use hawthornshift_core::direct::fleet::FleetEffect;
 use hawthornshift_core::direct::fleet::instance_id;
@@ -37,6 +39,26 @@
 /// Time that a handover takes, or a response of the store.
 const EXCHANGE_DURATION: Duration = Duration::from_millis(6);
 
+/// Interval at which an instance without state checks whether to ask a peer or read the store.
+const POLL_PERIOD: Duration = Duration::from_millis(5);
+/// Maximum number of peers that an instance hands its state over to at a time.
+const MAX_HANDOVERS: usize = 3;
+/// Size of the state of 6,000 targets, as handed over and as read from the store, in Mbit.
+const HANDOVER_MBIT: f64 = 1.4;
+const STORE_READ_MBIT: f64 = 20.0;
+/// Time that one full read occupies the store's link of 1,000 Mbit/s.
+const STORE_READ_SHARE: Duration = Duration::from_millis(20);
+
+/// Bandwidth of an instance's link: one of sixteen is fast.
+fn link_mbps(index: usize) -> f64 {
+    if index.is_multiple_of(16) { 200.0 } else { 20.0 }
+}
+
+/// Time in which an instance's link carries `mbit`, of which it can use nine tenths.
+fn transfer_time(index: usize, mbit: f64) -> Duration {
+    Duration::from_secs_f64(mbit / (0.9 * link_mbps(index)))
+}
+
 fn address(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 1, u8::try_from(index / 200).unwrap(), u8::try_from(index % 200 + 1).unwrap()], 7_000))
 }
@@ -52,6 +74,10 @@
     Datagram { to: usize, incarnation: u64, frame: Box<Frame> },
     HandoverReceived { to: usize, incarnation: u64, from: usize },
     StoreAnswered { to: usize, incarnation: u64 },
+    Poll { to: usize, incarnation: u64 },
+    StoreRead { to: usize, incarnation: u64 },
+    HandoverRequested { to: usize, by: usize, incarnation: u64 },
+    HandoverSent { from: usize, to: usize, incarnation: u64 },
 }
 
 #[derive(Clone)]
@@ -62,6 +88,12 @@
     revision: Revision,
     /// When the instance reached that revision.
     reached_at: Timestamp,
+    started_at: Timestamp,
+    /// Schedule of the requests for its state, for an instance that starts without any.
+    bootstrap: Bootstrap,
+    is_pulling: bool,
+    /// Number of peers that receive its state now.
+    handovers: usize,
 }
 
 /// The simulated fleet.
@@ -86,6 +118,12 @@
     pub unanswered_by_store: Vec<usize>,
     /// Number of handovers that each instance was asked for.
     pub handover_counts: Vec<u32>,
+    /// Whether instances that start have no state and fetch it from peers or from the store.
+    pub start_without_state: bool,
+    /// Number of instances that have begun to read the whole store.
+    pub store_reads: usize,
+    /// Number of those that have not finished.
+    current_store_reads: u32,
 }
 
 impl Members {
@@ -106,6 +144,9 @@
             store_revision: 1,
             unanswered_by_store: Vec::new(),
             handover_counts: vec![0; count],
+            start_without_state: false,
+            store_reads: 0,
+            current_store_reads: 0,
         };
         fleet.start_all();
         fleet
@@ -126,6 +167,26 @@
         }
     }
 
+    /// Kills all instances and starts them again within 60 ms, without any state.
+    pub fn lose_power(&mut self) {
+        self.start_without_state = true;
+        for index in 0..self.instances.len() {
+            self.kill(index);
+            let wait = ms(1_000 + self.rng.random_range(0..60));
+            self.schedule_after(wait, Event::Start(index));
+        }
+    }
+
+    /// Returns how long each running instance took from its start to its first state, in ascending order; `None` for one
+    /// without any.
+    pub fn times_to_state(&self) -> Vec<Option<Duration>> {
+        let up = self.instances.iter().flatten();
+        let mut times: Vec<Option<Duration>> =
+            up.map(|it| (it.revision > 0).then(|| it.reached_at.saturating_sub(it.started_at))).collect();
+        times.sort_by_key(|time| time.unwrap_or(Duration::MAX));
+        times
+    }
+
     fn schedule_after(&mut self, wait: Duration, event: Event) {
         self.last_event_id += 1;
         self.event_queue.push(Reverse((self.now + wait, self.last_event_id)));
@@ -195,9 +256,13 @@
             Event::Tick(index, incarnation) => self.deliver(index, incarnation, event),
             Event::Datagram { to, incarnation, .. }
             | Event::HandoverReceived { to, incarnation, .. }
-            | Event::StoreAnswered { to, incarnation } => {
+            | Event::StoreAnswered { to, incarnation }
+            | Event::Poll { to, incarnation }
+            | Event::StoreRead { to, incarnation } => {
                 self.deliver(to, incarnation, event);
             }
+            Event::HandoverRequested { to, by, incarnation } => self.handover_requested(to, by, incarnation),
+            Event::HandoverSent { from, to, incarnation } => self.handover_sent(from, to, incarnation),
         }
     }
 
@@ -210,9 +275,20 @@
         let seeds: Vec<SocketAddr> = (0..SEED_COUNT).filter(|seed| *seed != index).map(address).collect();
         let fleet = Fleet::new(self.now, identity, &seeds);
         let incarnation = self.last_incarnation;
-        self.instances[index] =
-            Some(Instance { fleet, incarnation, frozen_until: Timestamp::ZERO, revision: 1, reached_at: self.now });
+        let bootstrap = Bootstrap::new(false, link_mbps(index), self.rng.random_range(0.0..1.0));
+        self.instances[index] = Some(Instance {
+            fleet,
+            incarnation,
+            frozen_until: Timestamp::ZERO,
+            revision: u64::from(!self.start_without_state),
+            reached_at: self.now,
+            started_at: self.now,
+            bootstrap,
+            is_pulling: false,
+            handovers: 0,
+        });
         self.schedule_after(Duration::ZERO, Event::Tick(index, incarnation));
+        self.schedule_after(Duration::ZERO, Event::Poll { to: index, incarnation });
     }
 
     /// Delivers an event to an instance, after the freeze if it is frozen.
@@ -232,10 +308,16 @@
             Event::Datagram { frame, .. } => instance.fleet.handle_datagram(now, *frame, revision),
             Event::HandoverReceived { from, .. } => return self.handover_received(index, from),
             Event::StoreAnswered { .. } => return self.store_answered(index),
+            Event::Poll { .. } => return self.poll_bootstrap(index, incarnation),
+            Event::StoreRead { .. } => return self.store_read(index),
+            Event::HandoverRequested { .. } | Event::HandoverSent { .. } => return,
             Event::Start(_) | Event::Tick(..) => {
-                let effects = instance.fleet.tick(now, revision);
+                let mut effects = instance.fleet.tick(now, revision);
+                effects.extend(instance.fleet.invite(now, revision, MAX_HANDOVERS - instance.handovers));
                 self.schedule_after(TICK_PERIOD, Event::Tick(index, incarnation));
-                if self.instances[index].as_ref().is_some_and(|instance| instance.fleet.watcher_role().is_watching()) {
+                let is_watching =
+                    |instance: &Instance| instance.revision > 0 && instance.fleet.watcher_role().is_watching();
+                if self.instances[index].as_ref().is_some_and(is_watching) {
                     self.schedule_after(EXCHANGE_DURATION, Event::StoreAnswered { to: index, incarnation });
                 }
                 effects
@@ -244,6 +326,75 @@
         self.carry_out(index, effects);
     }
 
+    /// Lets an instance without state ask a peer or read the store, if that is due.
+    fn poll_bootstrap(&mut self, index: usize, incarnation: u64) {
+        let Some(instance) = self.instances[index].as_mut().filter(|instance| instance.revision == 0) else { return };
+        let Instance { fleet, bootstrap, .. } = instance;
+        let since_start = self.now.saturating_sub(instance.started_at);
+        if !instance.is_pulling && bootstrap.is_ask_due(since_start) {
+            let (up_to_date, others) = (fleet.up_to_date_peers(), fleet.reachable());
+            let sources = Sources { up_to_date: &up_to_date, announced: fleet.announced_by(), others: &others };
+            if let Some(peer) = bootstrap.ask(since_start, &sources, &mut self.rng) {
+                instance.is_pulling = true;
+                let to = self.by_address[&peer];
+                self.schedule_after(DATAGRAM_DELAY * 3, Event::HandoverRequested { to, by: index, incarnation });
+            }
+        }
+        let Some(instance) = self.instances[index].as_mut() else { return };
+        if instance.bootstrap.should_read_store(since_start, &instance.fleet.discovery(), instance.fleet.watcher_role())
+        {
+            instance.fleet.watcher_role_mut().start(self.now);
+            self.store_reads += 1;
+            self.current_store_reads += 1;
+            let took = (STORE_READ_SHARE * self.current_store_reads).max(transfer_time(index, STORE_READ_MBIT));
+            self.schedule_after(took, Event::StoreRead { to: index, incarnation });
+        }
+        self.schedule_after(POLL_PERIOD, Event::Poll { to: index, incarnation });
+    }
+
+    fn store_read(&mut self, index: usize) {
+        self.current_store_reads -= 1;
+        if let Some(instance) = &mut self.instances[index] {
+            instance.fleet.watcher_role_mut().record_store_answer(self.now);
+        }
+        self.obtain_state(index);
+    }
+
+    /// Gives an instance the store's revision; it then invites its peers.
+    fn obtain_state(&mut self, index: usize) {
+        self.advance_to(index, self.store_revision);
+        let now = self.now;
+        let Some(instance) = &mut self.instances[index] else { return };
+        let effects = instance.fleet.invite(now, instance.revision, MAX_HANDOVERS - instance.handovers);
+        self.carry_out(index, effects);
+    }
+
+    fn handover_requested(&mut self, to: usize, by: usize, incarnation: u64) {
+        let sender = self.instances[to].as_mut().filter(|sender| sender.revision > 0);
+        let Some(sender) = sender.filter(|sender| sender.handovers < MAX_HANDOVERS) else {
+            let now = self.now;
+            let requester = self.instances[by].as_mut().filter(|requester| requester.incarnation == incarnation);
+            if let Some(requester) = requester {
+                requester.is_pulling = false;
+                requester.bootstrap.handle_refusal(now.saturating_sub(requester.started_at), 0.5);
+            }
+            return;
+        };
+        sender.handovers += 1;
+        let slower = transfer_time(to, HANDOVER_MBIT).max(transfer_time(by, HANDOVER_MBIT));
+        let took = slower * u32::try_from(sender.handovers).unwrap();
+        self.schedule_after(took, Event::HandoverSent { from: to, to: by, incarnation });
+    }
+
+    fn handover_sent(&mut self, from: usize, to: usize, incarnation: u64) {
+        if let Some(sender) = &mut self.instances[from] {
+            sender.handovers = sender.handovers.saturating_sub(1);
+        }
+        if self.instances[to].as_ref().is_some_and(|instance| instance.incarnation == incarnation) {
+            self.obtain_state(to);
+        }
+    }
+
     /// Publishes a store update, as a delta if it fits a datagram and otherwise as a bare announcement; watchers
     /// receive it after one exchange.
     pub fn publish(&mut self, fits_datagram: bool) {
--- a/crates/direct/src/http_server.rs
+++ b/crates/direct/src/http_server.rs
@@ -40,10 +40,37 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum of concurrent handovers of a full snapshot. Three of 200 KB take half a second over a link of 10 Mbit/s. With
 /// more, none would finish before the timeout of its requester; a refused requester asks another instance.
-pub const MAX_CONCURRENT_HANDOVERS: usize = 3;
+const MAX_CONCURRENT_HANDOVERS: usize = 3;
 /// Delay after a failed accept. The usual cause is a lack of file descriptors, and an immediate retry would fail again.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Whether and to how many peers at a time an instance can hand its state over.
+#[derive(Debug)]
+pub struct Handovers {
+    has_state: AtomicBool,
+    /// Permits for concurrent handovers of a full snapshot.
+    permits: Arc<Semaphore>,
+}
+
+impl Default for Handovers {
+    fn default() -> Self {
+        Self { has_state: AtomicBool::new(false), permits: Arc::new(Semaphore::new(MAX_CONCURRENT_HANDOVERS)) }
+    }
+}
+
+impl Handovers {
+    /// Records that this instance has its complete state. Returns whether it had none before.
+    pub fn set_has_state(&self) -> bool {
+        !self.has_state.swap(true, Ordering::Relaxed)
+    }
+
+    /// Returns the number of peers that can be served now in addition to those that are being served.
+    #[must_use]
+    pub fn available(&self) -> usize {
+        self.permits.available_permits()
+    }
+}
+
 /// State shared by all connections.
 #[derive(Clone, Debug)]
 pub struct Services {
@@ -51,8 +78,8 @@
     pub ready: Arc<AtomicBool>,
     /// Sends commands to the process loop.
     pub tx: mpsc::Sender<Command>,
-    /// Permits for concurrent handovers of a full snapshot.
-    pub handover_permits: Arc<Semaphore>,
+    /// Whether and to how many peers this instance can hand its state over.
+    pub handovers: Arc<Handovers>,
 }
 
 /// Body of a snapshot handover with its permit, which is released once the last byte has been written.
@@ -134,7 +161,10 @@
         let Some(since) = since else {
             return respond(StatusCode::BAD_REQUEST, Bytes::from_static(b"since=REVISION is missing"));
         };
-        let permit = if since == 0 { Arc::clone(&self.handover_permits).try_acquire_owned().ok() } else { None };
+        if !self.handovers.has_state.load(Ordering::Relaxed) {
+            return respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+        }
+        let permit = if since == 0 { Arc::clone(&self.handovers.permits).try_acquire_owned().ok() } else { None };
         if since == 0 && permit.is_none() {
             return respond(StatusCode::TOO_MANY_REQUESTS, Bytes::new());
         }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -19,7 +19,6 @@
 use slog::warn;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
-use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -37,7 +36,7 @@
 use crate::dump::ProcessCounts;
 use crate::dump::Sources;
 use crate::http_server;
-use crate::http_server::MAX_CONCURRENT_HANDOVERS;
+use crate::http_server::Handovers;
 use crate::http_server::Services;
 use crate::metrics;
 use crate::peers::PeerSocket;
@@ -93,6 +92,7 @@
     peers: PeerSocket,
     group_addresses: Vec<SocketAddr>,
     ready: Arc<AtomicBool>,
+    handovers: Arc<Handovers>,
     reader_mode: watch::Sender<StoreReaderMode>,
     tx: mpsc::Sender<Command>,
     rx: mpsc::Receiver<Command>,
@@ -133,8 +133,8 @@
         let (tx, rx) = mpsc::channel(command::COMMAND_QUEUE_LEN);
         let (reader_mode, reader_mode_rx) = watch::channel(StoreReaderMode::Idle);
         let ready = Arc::new(AtomicBool::new(false));
-        let handover_permits = Arc::new(Semaphore::new(MAX_CONCURRENT_HANDOVERS));
-        let services = Services { ready: Arc::clone(&ready), tx: tx.clone(), handover_permits };
+        let handovers = Arc::new(Handovers::default());
+        let services = Services { ready: Arc::clone(&ready), tx: tx.clone(), handovers: Arc::clone(&handovers) };
         let addresses =
             [Some(platform.ready_address), Some(platform.peer_address), platform.control_address, Some(config.metrics)];
         for address in addresses.into_iter().flatten() {
@@ -153,6 +153,7 @@
             peers: PeerSocket::bind(platform.peer_address).await?,
             group_addresses: Vec::new(),
             ready,
+            handovers,
             reader_mode,
             tx,
             rx,
@@ -410,6 +411,7 @@
         self.last_fleet_tick = Some(now);
         let effects = self.fleet.tick(now, self.dispatcher.directory().revision());
         self.execute_fleet_effects(effects);
+        self.invite_peers(now);
         self.log_changes(now);
         self.update_missing_revision(now);
         self.update_readiness();
--- a/crates/direct/src/process/store_updates.rs
+++ b/crates/direct/src/process/store_updates.rs
@@ -20,6 +20,7 @@
 use crate::peers;
 use crate::peers::HandoverError;
 use hawthornshift_core::Timestamp;
+use hawthornshift_core::direct::bootstrap::Sources;
 use hawthornshift_core::direct::message::Handover;
 use hawthornshift_core::direct::store_entries::Delta;
 use hawthornshift_core::direct::watch::RoleChange;
@@ -75,6 +76,7 @@
             let outcome = match pulled {
                 Ok(handover) => PullOutcome::Received(Box::new(handover)),
                 Err(HandoverError::Refused(StatusCode::TOO_MANY_REQUESTS)) => PullOutcome::Refused,
+                Err(HandoverError::Refused(StatusCode::SERVICE_UNAVAILABLE)) => PullOutcome::Failed,
                 Err(error) => {
                     warn!(log, "pull failed"; "from" => from, "took_ms" => millis(elapsed), "error" => error.to_string());
                     PullOutcome::Failed
@@ -97,6 +99,7 @@
         self.fleet.watcher_role_mut().record_store_answer(now);
         self.apply_delta(now, delta, "store");
         self.confirm_up_to_date(now);
+        self.update_has_state(now);
         if !delta.entries.is_empty() {
             let revision = self.dispatcher.directory().revision();
             // A snapshot is large and follows a gap in the watch. It is only announced, and instances that lack it pull it.
@@ -138,6 +141,7 @@
         if changed {
             self.log_update(&handover.delta, "handover", elapsed);
         }
+        self.update_has_state(now);
     }
 
     /// Sends an instance all entries newer than the revision up to which it is synced, and the list of members if it has
@@ -177,16 +181,32 @@
         self.update_readiness();
     }
 
+    /// Accepts requests of peers for the state once this instance has it, and invites the first of them.
+    fn update_has_state(&mut self, now: Timestamp) {
+        let has_state = self.dispatcher.directory().is_synced();
+        if has_state && self.handovers.set_has_state() {
+            self.invite_peers(now);
+        }
+    }
+
+    /// Invites peers without state to ask this instance for it, as many as it can serve now.
+    pub(super) fn invite_peers(&mut self, now: Timestamp) {
+        let revision = self.dispatcher.directory().fetch_since();
+        let effects = self.fleet.invite(now, revision, self.handovers.available());
+        self.execute_fleet_effects(effects);
+    }
+
     /// Fetches a snapshot from a peer or from the store while the instance is not synced.
     pub(super) fn fetch_snapshot(&mut self, now: Timestamp) {
         if self.bootstrap.is_ask_due(now) {
             let (up_to_date, others) = (self.fleet.up_to_date_peers(), self.fleet.reachable());
-            if let Some(peer) = self.bootstrap.ask(now, &up_to_date, &others, &mut rand::rng()) {
+            let sources = Sources { up_to_date: &up_to_date, announced: self.fleet.announced_by(), others: &others };
+            if let Some(peer) = self.bootstrap.ask(now, &sources, &mut rand::rng()) {
                 self.pull(peer);
             }
         }
         if self.bootstrap.may_read_store(now)
-            && self.bootstrap.should_read_store(now, self.fleet.rank(), self.fleet.watcher_role())
+            && self.bootstrap.should_read_store(now, &self.fleet.discovery(), self.fleet.watcher_role())
         {
             self.fleet.watcher_role_mut().start(now);
             self.change_watcher_role(RoleChange::Start);
