Spread a revision among neighbors that announcements do not reach

Cause: when two failure domains lose each other, the instances of one get no announcement from a watcher in the other, and hear of a revision only when one that has it happens to exchange a heartbeat with them: five a second for each, so the last of a domain often takes more than a second. Ruled out: the delay of 200 ms before a revision is requested, which all of them have in common. Change: an instance that had to request a revision sends a heartbeat to eight members of its failure domain when it arrives.

--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -290,12 +290,17 @@
             return Vec::new();
         }
         let peers = self.membership.reachable().filter(|member| !self.up_to_date_peers.contains(&member.control));
-        let peers = peers.map(|member| member.id).choose_multiple(&mut self.rng, count);
-        let invite = |id| {
+        let ids = peers.map(|member| member.id).choose_multiple(&mut self.rng, count);
+        self.send_heartbeats(now, ids, revision)
+    }
+
+    /// Returns heartbeats that answer no ping, from which their recipients learn of this instance's revision.
+    fn send_heartbeats(&mut self, now: Timestamp, to: Vec<InstanceId>, revision: Revision) -> Vec<FleetEffect> {
+        let send = |id| {
             let heartbeat = self.heartbeat(now, id, 0, revision, PeerView::Unknown);
             self.send_to_member(id, Message::Ack(heartbeat))
         };
-        peers.into_iter().filter_map(invite).collect()
+        to.into_iter().filter_map(send).collect()
     }
 
     /// Returns the addresses of all instances that appear to be alive.
--- a/crates/core/src/direct/fleet/store_updates.rs
+++ b/crates/core/src/direct/fleet/store_updates.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
 use rand::seq::SliceRandom;
 
 use super::Fleet;
@@ -34,6 +35,8 @@
 /// Delay before an instance fetches a newer revision from a peer that announced it but cannot provide it immediately.
 /// In nearly all cases the update arrives by itself within milliseconds.
 const FETCH_DELAY: Duration = Duration::from_millis(200);
+/// Number of neighbors that an instance notifies of a revision that it had to request.
+const MAX_NOTIFIED_NEIGHBORS: usize = 8;
 /// Time after a pause of the process during which nothing is relayed, since messages read then may be as old as the
 /// pause was long.
 const RELAY_PAUSE: Duration = Duration::from_millis(100);
@@ -46,6 +49,8 @@
     from: SocketAddr,
     /// When to fetch it if it has not arrived.
     due_at: Timestamp,
+    /// Whether it was requested since it did not arrive by itself.
+    requested: bool,
 }
 
 impl PendingFetch {
@@ -169,7 +174,8 @@
         self.directory_lag.heard_of(now, announced, revision);
         if announced > self.pending_fetch.map_or(revision, |pending_fetch| pending_fetch.revision.max(revision)) {
             let due_at = self.pending_fetch.map_or(now + FETCH_DELAY, |pending_fetch| pending_fetch.due_at);
-            self.pending_fetch = Some(PendingFetch { revision: announced, from, due_at });
+            let requested = self.pending_fetch.is_some_and(|pending_fetch| pending_fetch.requested);
+            self.pending_fetch = Some(PendingFetch { revision: announced, from, due_at, requested });
         }
     }
 
@@ -177,12 +183,27 @@
     ///
     /// The watcher may have declared this instance dead and send it nothing, or its datagrams may be lost. Without this
     /// request, leaving targets would receive new flows for as long as that lasts.
-    pub(super) fn due_fetch(&mut self, now: Timestamp, revision: Revision) -> Option<FleetEffect> {
-        self.pending_fetch = self.pending_fetch.filter(|pending_fetch| pending_fetch.revision > revision);
-        let pending_fetch = self.pending_fetch.as_mut().filter(|pending_fetch| now >= pending_fetch.due_at)?;
+    pub(super) fn due_fetch(&mut self, now: Timestamp, revision: Revision) -> Vec<FleetEffect> {
+        let arrived = self.pending_fetch.take_if(|pending_fetch| pending_fetch.revision <= revision);
+        if arrived.is_some_and(|pending_fetch| pending_fetch.requested) {
+            return self.notify_neighbors(now, revision);
+        }
+        let Some(pending_fetch) = self.pending_fetch.as_mut().filter(|it| now >= it.due_at) else { return Vec::new() };
         pending_fetch.due_at = now + FETCH_DELAY;
+        pending_fetch.requested = true;
         let from = pending_fetch.from;
-        self.directory_lag.take_pull(now, from).map(FleetEffect::Pull)
+        self.directory_lag.take_pull(now, from).map(FleetEffect::Pull).into_iter().collect()
+    }
+
+    /// Sends a heartbeat to a few members of the own failure domain after a revision had to be requested.
+    ///
+    /// Announcements probably do not reach this domain. Its other instances would learn of the revision only when one
+    /// that has it happens to exchange a heartbeat with them, and the last of them after more than a second.
+    fn notify_neighbors(&mut self, now: Timestamp, revision: Revision) -> Vec<FleetEffect> {
+        let domain = self.membership.me().failure_domain.as_str();
+        let neighbors = self.membership.reachable().filter(|member| member.failure_domain == domain);
+        let ids = neighbors.map(|member| member.id).choose_multiple(&mut self.rng, MAX_NOTIFIED_NEIGHBORS);
+        self.send_heartbeats(now, ids, revision)
     }
 }
 
--- a/crates/core/tests/direct/store_updates.rs
+++ b/crates/core/tests/direct/store_updates.rs
@@ -105,19 +105,21 @@
 /// updates take effect on both sides. Afterwards one watcher must be enough again.
 #[test]
 fn a_domain_that_does_not_reach_the_watcher_gets_its_own_watcher() {
-    let (mut fleet, watcher) = settled_with_watcher(5, 100);
-    let domain = watcher % 6;
-    fleet.partitions = vec![(domain, (domain + 1) % 6)];
-    fleet.run(Duration::from_secs(4));
-    let since = fleet.now;
-    fleet.publish(true);
-    fleet.run(Duration::from_secs(2));
-    assert!(
-        slowest_update(&fleet, since).is_some_and(|time| time <= Duration::from_secs(1)),
-        "{:?}",
-        slowest_update(&fleet, since)
-    );
-    fleet.partitions.clear();
-    fleet.run(Duration::from_secs(3));
-    assert_eq!(fleet.watchers().len(), 1);
+    for seed in 1..=8 {
+        let (mut fleet, watcher) = settled_with_watcher(seed, 100);
+        let domain = watcher % 6;
+        fleet.partitions = vec![(domain, (domain + 1) % 6)];
+        fleet.run(Duration::from_secs(4));
+        let since = fleet.now;
+        fleet.publish(true);
+        fleet.run(Duration::from_secs(2));
+        assert!(
+            slowest_update(&fleet, since).is_some_and(|time| time <= Duration::from_secs(1)),
+            "seed {seed}: {:?}",
+            slowest_update(&fleet, since)
+        );
+        fleet.partitions.clear();
+        fleet.run(Duration::from_secs(3));
+        assert_eq!(fleet.watchers().len(), 1);
+    }
 }
