Count the iterations of the process loop, and log them and the messages sent at a stop

Cause: neither how often an instance is woken nor what it sends to peers by kind could be read off a finished process. Change: a counter of iterations; the line that says that an instance has stopped has it, the time since the start and what was sent.

--- a/crates/direct/src/dump.rs
+++ b/crates/direct/src/dump.rs
@@ -20,6 +20,8 @@
 /// Counters of the process itself.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct ProcessCounts {
+    /// Iterations of the process loop, each caused by at least one event.
+    pub iterations: u64,
     /// Successful calls to the store.
     pub store_answers: u64,
     /// Failed calls to the store.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -108,6 +108,7 @@
         ("hawthornshift_peer_messages_unsent_total", peers.unsent),
         ("hawthornshift_peer_messages_received_total", peers.received),
         ("hawthornshift_peer_messages_malformed_total", peers.malformed),
+        ("hawthornshift_loop_iterations_total", process.iterations),
         ("hawthornshift_store_answers_total", process.store_answers),
         ("hawthornshift_store_failures_total", process.store_failures),
         ("hawthornshift_store_entries_refused_total", process.entries_refused),
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -17,6 +17,7 @@
 use slog::Logger;
 use slog::info;
 use slog::warn;
+use strum::IntoEnumIterator;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
@@ -39,6 +40,7 @@
 use crate::http_server::Handovers;
 use crate::http_server::Services;
 use crate::metrics;
+use crate::peers::PeerCounts;
 use crate::peers::PeerSocket;
 use crate::reload::SettingsReloader;
 use crate::store_reader;
@@ -54,6 +56,7 @@
 use hawthornshift_core::direct::fleet::FleetEffect;
 use hawthornshift_core::direct::mechanisms::Mechanism;
 use hawthornshift_core::direct::message::Frame;
+use hawthornshift_core::direct::message::FrameKind;
 use hawthornshift_core::direct::message::Message;
 use hawthornshift_core::direct::message::StoreUpdate;
 use hawthornshift_core::direct::pause::PauseDetector;
@@ -204,6 +207,7 @@
                 Some(command) = self.rx.recv() => self.handle_command(command),
                 () = tokio::time::sleep(wait) => {}
             }
+            self.counts.iterations += 1;
             self.detect_pause();
             self.read_callers();
             self.read_peers();
@@ -247,7 +251,8 @@
     fn announce_departure(&mut self) {
         let effects = self.fleet.announce_departure();
         self.execute_fleet_effects(effects);
-        info!(self.log, "stopped"; "packets" => self.callers.counts().received);
+        info!(self.log, "stopped"; "packets" => self.callers.counts().received, "after_ms" => millis(self.now()),
+            "iterations" => self.counts.iterations, "sent" => format_sent(self.peers.counts()));
     }
 
     /// Receives and handles packets of callers, up to one batch.
@@ -505,6 +510,15 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
 
+/// Formats the messages sent to peers as their number and bytes by kind.
+fn format_sent(counts: &PeerCounts) -> String {
+    let kinds =
+        FrameKind::iter().map(|kind| (kind.into(), counts.sent[kind as usize], counts.sent_bytes[kind as usize]));
+    let kinds: Vec<String> =
+        kinds.map(|(name, messages, bytes): (&str, _, _)| format!("{name}:{messages}:{bytes}")).collect();
+    kinds.join(" ")
+}
+
 /// Formats up to [`MAX_LOGGED_INSTANCES`] instances by their IPv4 addresses, which are their ids.
 fn format_instances(ids: &[InstanceId]) -> String {
     let addresses: Vec<String> =
