Send capacity reports of a large group from different first recipients

Cause: all members of a group sent their reports to the same twenty members in each round. In a failure domain of 109 instances a member received the reports of all others together every 1.6 s, and none of them counted in the last 0.6 s of that; at 218 it knew nobody's demand for two thirds of the time. Its share of the slots then changed between demand and an equal part. Ruled out: a longer age limit, which only moves the size at which this begins. Change: an instance's first recipients follow from its id, so each member knows the demand of some 66 others at any time, however large the group is. Measured: the new test, in which each member must know at least 30 others at all times at 65, 109 and 218 members, finds 0 known before the change and passes after it; tests of quotas, overload and shares pass (27).

--- a/crates/core/src/direct/capacity_report.rs
+++ b/crates/core/src/direct/capacity_report.rs
@@ -23,8 +23,10 @@
 /// Maximum age of a report that is used.
 pub const MAX_AGE: Duration = Duration::from_secs(1);
 /// Maximum number of instances that one report is sent to. In larger groups, successive reports go to different
-/// members. A report of one service takes at most 50 bytes with its headers, so that this is 3.4 KB/s.
+/// members, so that each knows the demand of some 66 others within [`MAX_AGE`], a sample of the group. A report of one service takes at most 50 bytes with its headers, so that this is 3.4 KB/s.
 const MAX_RECIPIENTS: usize = 20;
+/// Key of the hash that determines the first recipients of an instance's reports.
+const FIRST_RECIPIENT_KEY: u64 = 0x72_65_63_69_70;
 /// Maximum number of services in one report.
 const MAX_SERVICES: usize = 32;
 
@@ -177,9 +179,14 @@
     group.iter().filter(|id| score(**id) > score(me)).count() < OVERLOAD_REPORTERS
 }
 
-/// Returns the members of a group that the report with this number is sent to.
+/// Returns the members of a group that the report of `sender` with this number is sent to.
+///
+/// Senders begin at different members. If all began at the first one, a member of a large group would receive the reports
+/// of all others together and then none until they are out of date.
 #[must_use]
-pub fn recipients(group: &[SocketAddr], round: usize) -> Vec<SocketAddr> {
-    let start = if group.is_empty() { 0 } else { round.wrapping_mul(MAX_RECIPIENTS) % group.len() };
+pub fn recipients(group: &[SocketAddr], sender: InstanceId, round: usize) -> Vec<SocketAddr> {
+    let Some(count) = u64::try_from(group.len()).ok().filter(|count| *count > 0) else { return Vec::new() };
+    let first = rendezvous::score(FIRST_RECIPIENT_KEY, u64::from(sender)) % count;
+    let start = (round.wrapping_mul(MAX_RECIPIENTS) + usize::try_from(first).unwrap_or(0)) % group.len();
     group.iter().cycle().skip(start).take(group.len().min(MAX_RECIPIENTS)).copied().collect()
 }
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -173,6 +173,12 @@
         }
     }
 
+    /// Returns the id of this instance.
+    #[must_use]
+    pub fn id(&self) -> InstanceId {
+        self.membership.me().id
+    }
+
     /// Returns the watcher role.
     #[must_use]
     pub fn watcher_role(&self) -> &WatcherRole {
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -687,7 +687,8 @@
             self.send(index, &group, &Frame::AnswerTimes(report));
         }
         if let Some((round, report)) = capacity {
-            self.send(index, &recipients(&group, round), &Frame::Capacity(report));
+            let sender = instance_id(instance_address(index));
+            self.send(index, &recipients(&group, sender, round), &Frame::Capacity(report));
         }
         if let Some((others, report)) = overload {
             self.send(index, &others, &Frame::Capacity(report));
--- a/crates/core/tests/direct/slot_quota.rs
+++ b/crates/core/tests/direct/slot_quota.rs
@@ -1,5 +1,6 @@
 //! Quotas of slots while a service is overloaded.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,12 +10,15 @@
 use crate::fleet::ms;
 use hawthornshift_core::direct::capacity_report::GroupDemand;
 use hawthornshift_core::direct::capacity_report::GroupDemands;
+use hawthornshift_core::direct::capacity_report::MAX_AGE;
+use hawthornshift_core::direct::capacity_report::REPORT_PERIOD;
 use hawthornshift_core::direct::capacity_report::ServiceDemand;
 use hawthornshift_core::direct::capacity_report::recipients;
 use hawthornshift_core::direct::mechanisms::Mechanism;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
 use hawthornshift_core::direct::slot_quota::QuotaInputs;
 use hawthornshift_core::direct::slot_quota::SlotQuotas;
+use hawthornshift_model::InstanceId;
 
 /// Usual rate of requests per second for 120 targets of 2 slots with requests of 40 ms: a quarter of the capacity.
 const USUAL_RATE: f64 = 1_450.0;
@@ -162,7 +166,35 @@
 #[test]
 fn successive_reports_reach_the_whole_group() {
     let group: Vec<_> = (1..=107).map(|port| SocketAddr::from(([10, 0, 0, 1], port))).collect();
-    let reached: BTreeSet<_> = (0..6).flat_map(|round| recipients(&group, round)).collect();
+    let reached: BTreeSet<_> = (0..6).flat_map(|round| recipients(&group, 7, round)).collect();
     assert_eq!(reached.len(), 107);
-    assert!(recipients(&[], 1).is_empty());
+    assert!(recipients(&[], 7, 1).is_empty());
+}
+
+/// Guards against members of a large group that know the demand of all others at one time and of none at another.
+#[test]
+fn each_member_always_knows_the_demand_of_a_sample_of_a_large_group() {
+    for members in [65_u16, 109, 218] {
+        let address = |member| SocketAddr::from(([10, 0, 0, 1], member));
+        let in_force_for = 6_000_u64;
+        // Quotas take effect at all members at about the same time.
+        let mut received: BTreeMap<SocketAddr, Vec<(u64, u16)>> = BTreeMap::new();
+        for sender in 1..=members {
+            let group: Vec<_> = (1..=members).filter(|member| *member != sender).map(address).collect();
+            let period_ms = u64::try_from(REPORT_PERIOD.as_millis()).unwrap();
+            for (round, at_ms) in (0..in_force_for).step_by(usize::try_from(period_ms).unwrap()).enumerate() {
+                for recipient in recipients(&group, InstanceId::from(sender), round) {
+                    received.entry(recipient).or_default().push((at_ms + u64::from(sender) % period_ms, sender));
+                }
+            }
+        }
+        let max_age_ms = u64::try_from(MAX_AGE.as_millis()).unwrap();
+        for reports in received.values() {
+            for now in (max_age_ms + 300..in_force_for).step_by(100) {
+                let valid = reports.iter().filter(|(at, _)| *at <= now && now - at < max_age_ms);
+                let known: BTreeSet<u16> = valid.map(|(_, sender)| *sender).collect();
+                assert!(known.len() >= 30, "{} of {members} known", known.len());
+            }
+        }
+    }
 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -456,7 +456,8 @@
         }
         self.log_speed_changes();
         if let Some((round, report)) = self.dispatcher.take_capacity_report(now) {
-            self.peers.send(&recipients(&self.group_addresses, round), &Frame::Capacity(report));
+            let recipients = recipients(&self.group_addresses, self.fleet.id(), round);
+            self.peers.send(&recipients, &Frame::Capacity(report));
             if let Some(report) = self.dispatcher.overload_report(round) {
                 self.peers.send(&self.fleet.other_domains(), &Frame::Capacity(report));
             }
