Group the modules of the direct path by what they decide

Cause: thirty-six files stood beside each other. Change: moves alone, into targets, limits, reports, store and lifecycle, each with a page that says what it decides and what it never does; the design notes and the architecture page follow. One constant is visible to the whole direct path, as before.

--- a/crates/core/examples/target_speed.rs
+++ b/crates/core/examples/target_speed.rs
@@ -14,13 +14,13 @@
 use crate::fleet::Sim;
 use crate::fleet::service_address;
 use crate::fleet::target_id;
-use hawthornshift_core::direct::answer_time_report::AnswerTimeReport;
-use hawthornshift_core::direct::answer_time_report::ReportKind;
-use hawthornshift_core::direct::answer_time_report::RouteAnswerTimes;
-use hawthornshift_core::direct::answer_time_report::TargetAnswerTimes;
-use hawthornshift_core::direct::directory::cookie;
 use hawthornshift_core::direct::mechanisms::Mechanism;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
+use hawthornshift_core::direct::reports::answer_time_report::AnswerTimeReport;
+use hawthornshift_core::direct::reports::answer_time_report::ReportKind;
+use hawthornshift_core::direct::reports::answer_time_report::RouteAnswerTimes;
+use hawthornshift_core::direct::reports::answer_time_report::TargetAnswerTimes;
+use hawthornshift_core::direct::store::directory::cookie;
 
 /// Number of seeds per case.
 const SEEDS: u32 = 4;
--- a/crates/core/src/direct/dispatcher/established.rs
+++ b/crates/core/src/direct/dispatcher/established.rs
@@ -9,19 +9,19 @@
 use crate::Timestamp;
 use crate::direct::decision::Decision;
 use crate::direct::decision::Outcome;
-use crate::direct::directory::Target;
-use crate::direct::directory::cookie;
 use crate::direct::flows::AnswerStart;
 use crate::direct::flows::Flow;
 use crate::direct::flows::RequestStart;
 use crate::direct::flows::Stage;
-use crate::direct::load_report::AnsweredRequest;
-use crate::direct::load_report::FailedRequest;
 use crate::direct::mechanisms::Mechanism;
+use crate::direct::reports::load_report::AnsweredRequest;
+use crate::direct::reports::load_report::FailedRequest;
 use crate::direct::segment::FlowId;
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
-use crate::direct::target_speed;
+use crate::direct::store::directory::Target;
+use crate::direct::store::directory::cookie;
+use crate::direct::targets::target_speed;
 use hawthornshift_model::TargetId;
 
 /// Factor on the usual request time. A request that its caller abandons after that time counts as a failure of the
--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -19,44 +19,44 @@
 
 use self::syn::FullSearch;
 use crate::Timestamp;
-use crate::direct::adaptive_limit::AdaptiveLimits;
-use crate::direct::admission::ServiceRates;
-use crate::direct::answer_times::AnswerTimes;
-use crate::direct::concurrency_limit::ConcurrencyLimit;
 use crate::direct::decision::Decision;
 use crate::direct::decision::Outcome;
 use crate::direct::decision::OutcomeCounts;
-use crate::direct::directory::Directory;
-use crate::direct::directory_lag::MissingRevision;
-use crate::direct::directory_lag::PlacementGate;
-use crate::direct::domain_reach::DomainReach;
-use crate::direct::failures::Failures;
-use crate::direct::fair_share::FairShares;
 use crate::direct::flows::FlowRecords;
-use crate::direct::handshake_timeout::HandshakeTimeout;
-use crate::direct::link_budget::LinkBudget;
-use crate::direct::link_budget::LinkStatus;
-use crate::direct::link_budget::OVERHEAD_BYTES;
-use crate::direct::load_report::LoadReport;
+use crate::direct::lifecycle::readiness::Readiness;
+use crate::direct::lifecycle::readiness::ReadinessInputs;
+use crate::direct::lifecycle::readiness::UnreadyLimit;
+use crate::direct::limits::adaptive_limit::AdaptiveLimits;
+use crate::direct::limits::admission::ServiceRates;
+use crate::direct::limits::concurrency_limit::ConcurrencyLimit;
+use crate::direct::limits::fair_share::FairShares;
+use crate::direct::limits::link_budget::LinkBudget;
+use crate::direct::limits::link_budget::LinkStatus;
+use crate::direct::limits::link_budget::OVERHEAD_BYTES;
+use crate::direct::limits::pending::PendingQueue;
+use crate::direct::limits::slot_quota::SlotQuotas;
 use crate::direct::mechanisms::Mechanism;
 use crate::direct::mechanisms::Mechanisms;
-use crate::direct::message::Handover;
-use crate::direct::open_requests::OpenRequests;
-use crate::direct::outlier::Outliers;
-use crate::direct::pending::PendingQueue;
 use crate::direct::placement::Limit;
 use crate::direct::placement::SlowStart;
-use crate::direct::reachability::ReachabilityChange;
-use crate::direct::reachability::ReachabilityChecks;
-use crate::direct::readiness::Readiness;
-use crate::direct::readiness::ReadinessInputs;
-use crate::direct::readiness::UnreadyLimit;
+use crate::direct::reports::load_report::LoadReport;
+use crate::direct::reports::message::Handover;
 use crate::direct::segment::Cookie;
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
-use crate::direct::slot_quota::SlotQuotas;
-use crate::direct::store_entries::Delta;
-use crate::direct::target_speed::TargetSpeeds;
+use crate::direct::store::directory::Directory;
+use crate::direct::store::directory_lag::MissingRevision;
+use crate::direct::store::directory_lag::PlacementGate;
+use crate::direct::store::store_entries::Delta;
+use crate::direct::targets::answer_times::AnswerTimes;
+use crate::direct::targets::domain_reach::DomainReach;
+use crate::direct::targets::failures::Failures;
+use crate::direct::targets::handshake_timeout::HandshakeTimeout;
+use crate::direct::targets::open_requests::OpenRequests;
+use crate::direct::targets::outlier::Outliers;
+use crate::direct::targets::reachability::ReachabilityChange;
+use crate::direct::targets::reachability::ReachabilityChecks;
+use crate::direct::targets::target_speed::TargetSpeeds;
 use crate::maps::FixedHashSet;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::Revision;
@@ -133,7 +133,7 @@
     /// Time after the start of a failure domain's evacuation from which no packet is forwarded to its targets.
     pub evacuation_grace: Duration,
     /// Bandwidth of this instance's own link, in Mbit/s;
-    /// [`WIDE_LINK_MBPS`](crate::direct::link_budget::WIDE_LINK_MBPS) if it is unknown.
+    /// [`WIDE_LINK_MBPS`](crate::direct::limits::link_budget::WIDE_LINK_MBPS) if it is unknown.
     pub link_mbps: f64,
     /// Mechanisms that are enabled; a trial disables single ones.
     pub mechanisms: Mechanisms,
--- a/crates/core/src/direct/dispatcher/quotas.rs
+++ b/crates/core/src/direct/dispatcher/quotas.rs
@@ -4,15 +4,15 @@
 
 use super::Dispatcher;
 use crate::Timestamp;
-use crate::direct::capacity_report::CapacityReport;
-use crate::direct::capacity_report::ServiceDemand;
-use crate::direct::capacity_report::domain_key;
-use crate::direct::capacity_report::reports_overload;
-use crate::direct::capacity_report::service_key;
+use crate::direct::limits::slot_quota::QuotaChange;
+use crate::direct::limits::slot_quota::QuotaInputs;
+use crate::direct::limits::slot_quota::SlotQuotas;
 use crate::direct::mechanisms::Mechanism;
-use crate::direct::slot_quota::QuotaChange;
-use crate::direct::slot_quota::QuotaInputs;
-use crate::direct::slot_quota::SlotQuotas;
+use crate::direct::reports::capacity_report::CapacityReport;
+use crate::direct::reports::capacity_report::ServiceDemand;
+use crate::direct::reports::capacity_report::domain_key;
+use crate::direct::reports::capacity_report::reports_overload;
+use crate::direct::reports::capacity_report::service_key;
 
 impl Dispatcher {
     /// Returns the quotas of overloaded services.
--- a/crates/core/src/direct/dispatcher/sharing.rs
+++ b/crates/core/src/direct/dispatcher/sharing.rs
@@ -1,16 +1,16 @@
-//! Shares of competing routes and callers: the dispatcher's inputs for [`fair_share`](crate::direct::fair_share), and the
+//! Shares of competing routes and callers: the dispatcher's inputs for [`fair_share`](crate::direct::limits::fair_share), and the
 //! order in which their waiting flows are placed.
 
 use super::Dispatcher;
 use super::Effect;
 use crate::Timestamp;
 use crate::direct::decision::Outcome;
-use crate::direct::fair_share::ContentionChange;
-use crate::direct::fair_share::FlowClass;
-use crate::direct::fair_share::ServiceUse;
-use crate::direct::fair_share::Standing;
+use crate::direct::limits::fair_share::ContentionChange;
+use crate::direct::limits::fair_share::FlowClass;
+use crate::direct::limits::fair_share::ServiceUse;
+use crate::direct::limits::fair_share::Standing;
+use crate::direct::limits::pending::PendingFlow;
 use crate::direct::mechanisms::Mechanism;
-use crate::direct::pending::PendingFlow;
 use crate::direct::placement::Choice;
 use crate::direct::segment::FlowId;
 use hawthornshift_model::TargetId;
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -9,20 +9,19 @@
 use super::Packet;
 use super::Syn;
 use crate::Timestamp;
-use crate::direct::adaptive_limit::Usage;
-use crate::direct::admission;
-use crate::direct::admission::Admission;
-use crate::direct::admission::WaitBudget;
 use crate::direct::decision::Decision;
 use crate::direct::decision::Outcome;
-use crate::direct::directory::cookie;
-use crate::direct::fair_share::Standing;
 use crate::direct::flows::Flow;
 use crate::direct::flows::PendingHandshake;
 use crate::direct::flows::RequestStart;
 use crate::direct::flows::Stage;
+use crate::direct::limits::adaptive_limit::Usage;
+use crate::direct::limits::admission;
+use crate::direct::limits::admission::Admission;
+use crate::direct::limits::admission::WaitBudget;
+use crate::direct::limits::fair_share::Standing;
+use crate::direct::limits::pending::PendingFlow;
 use crate::direct::mechanisms::Mechanism;
-use crate::direct::pending::PendingFlow;
 use crate::direct::placement::Choice;
 use crate::direct::placement::Limit;
 use crate::direct::placement::Placement;
@@ -30,7 +29,8 @@
 use crate::direct::segment::FlowId;
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
-use crate::direct::store_entries::Route;
+use crate::direct::store::directory::cookie;
+use crate::direct::store::store_entries::Route;
 use crate::rendezvous;
 use hawthornshift_model::TargetId;
 
@@ -51,7 +51,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct FullSearch {
     at: Timestamp,
-    /// [`OpenRequests::released`](crate::direct::open_requests::OpenRequests::released) at that time.
+    /// [`OpenRequests::released`](crate::direct::targets::open_requests::OpenRequests::released) at that time.
     released: u64,
 }
 
--- a/crates/core/src/direct/dispatcher/timers.rs
+++ b/crates/core/src/direct/dispatcher/timers.rs
@@ -9,15 +9,15 @@
 use crate::Timestamp;
 use crate::direct::decision::Decision;
 use crate::direct::decision::Outcome;
-use crate::direct::directory::cookie;
 use crate::direct::flows::Stage;
+use crate::direct::limits::pending::ATTEMPT_DURATION;
+use crate::direct::limits::pending::PendingFlow;
 use crate::direct::mechanisms::Mechanism;
-use crate::direct::pending::ATTEMPT_DURATION;
-use crate::direct::pending::PendingFlow;
 use crate::direct::placement::Choice;
 use crate::direct::placement::Limit;
 use crate::direct::segment::FlowHash;
 use crate::direct::segment::FlowId;
+use crate::direct::store::directory::cookie;
 use hawthornshift_model::TargetId;
 
 /// Delay of a timer from which this process, and not the target, is assumed to have been paused.
--- a/crates/core/src/direct/bootstrap.rs
+++ b/crates/core/src/direct/lifecycle/bootstrap.rs
@@ -18,7 +18,7 @@
 use rand::seq::IndexedRandom;
 
 use crate::Timestamp;
-use crate::direct::watch::WatcherRole;
+use crate::direct::store::watch::WatcherRole;
 
 /// Time after which an instance that has received no state transfer reads the store itself. A peer's answer takes 2
 /// ms to 10 ms. After a power loss no peer has the state, and nothing is served while the instance waits.
--- a/crates/core/src/direct/readiness.rs
+++ b/crates/core/src/direct/lifecycle/readiness.rs
@@ -14,9 +14,9 @@
 use strum::Display;
 
 use crate::Timestamp;
-use crate::direct::directory::Directory;
-use crate::direct::outlier::Availability;
-use crate::direct::outlier::Outliers;
+use crate::direct::store::directory::Directory;
+use crate::direct::targets::outlier::Availability;
+use crate::direct::targets::outlier::Outliers;
 
 /// Time without a message from any instance in other failure domains after which those domains count as out of reach.
 ///
--- a/crates/core/src/direct/admission.rs
+++ b/crates/core/src/direct/limits/admission.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 
 use crate::Timestamp;
-use crate::direct::smoothed_time::SmoothedTime;
-use crate::direct::smoothed_time::Weights;
+use crate::direct::targets::smoothed_time::SmoothedTime;
+use crate::direct::targets::smoothed_time::Weights;
 
 /// Half-life of the measured arrival rate of new flows.
 const RATE_HALF_LIFE: Duration = Duration::from_millis(200);
--- a/crates/core/src/direct/fair_share.rs
+++ b/crates/core/src/direct/limits/fair_share.rs
@@ -20,10 +20,10 @@
 use serde::Serialize;
 
 use crate::Timestamp;
-use crate::direct::admission::QueueDepth;
-use crate::direct::caller_rates::CallerRates;
+use crate::direct::limits::admission::QueueDepth;
+use crate::direct::limits::caller_rates::CallerRates;
 use crate::direct::segment::FlowHash;
-use crate::direct::store_entries::Routing;
+use crate::direct::store::store_entries::Routing;
 use crate::maps::FixedHashMap;
 
 /// Ratio of the weights of two adjacent priorities.
--- a/crates/core/src/direct/link_budget.rs
+++ b/crates/core/src/direct/limits/link_budget.rs
@@ -21,7 +21,7 @@
 use strum::IntoStaticStr;
 
 use crate::Timestamp;
-use crate::direct::pending::ATTEMPT_DURATION;
+use crate::direct::limits::pending::ATTEMPT_DURATION;
 use crate::direct::segment::FlowHash;
 use crate::direct::segment::Segment;
 use crate::direct::segment::SegmentKind;
--- a/crates/core/src/direct/pending.rs
+++ b/crates/core/src/direct/limits/pending.rs
@@ -4,15 +4,15 @@
 //! second of SYNs arrive in addition to the usual rate, or while a third of the targets is slow. A flow that has been
 //! placed on a full target cannot be moved again. It therefore waits in this queue, where its order can still change.
 //! Flows that can still be answered within their latency objective are served first and may use a target's reserve.
-//! Late flows get the remaining capacity. [`admission`](crate::direct::admission) decides which flows may wait at
+//! Late flows get the remaining capacity. [`admission`](crate::direct::limits::admission) decides which flows may wait at
 //! all.
 
 use std::cmp::Reverse;
 use std::time::Duration;
 
 use crate::Timestamp;
-use crate::direct::admission::QueueDepth;
-use crate::direct::fair_share::FlowClass;
+use crate::direct::limits::admission::QueueDepth;
+use crate::direct::limits::fair_share::FlowClass;
 use crate::direct::segment::FlowHash;
 use crate::direct::segment::Segment;
 use hawthornshift_model::TargetId;
@@ -21,7 +21,7 @@
 /// request itself, whose duration varies by as much.
 const OBJECTIVE_DIVISOR: u32 = 3;
 /// Time from a caller's first SYN to the end of its attempt.
-pub(super) const ATTEMPT_DURATION: Duration = Duration::from_millis(1_400);
+pub(in crate::direct) const ATTEMPT_DURATION: Duration = Duration::from_millis(1_400);
 /// Time since a caller's first SYN, by the number of retransmissions sent so far. Callers retransmit a SYN 200 ms and
 /// 600 ms after the first.
 const AGES_BY_RETRANSMISSIONS: [Duration; 3] = [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(600)];
--- a/crates/core/src/direct/slot_quota.rs
+++ b/crates/core/src/direct/limits/slot_quota.rs
@@ -2,14 +2,14 @@
 //!
 //! The expected load: several times more requests than all targets together can serve, through dozens of instances of
 //! which none knows what the instances of other failure domains place. If each of them bounds its open requests by
-//! itself, as [`adaptive_limit`](crate::direct::adaptive_limit) does, the lower bounds of these limits add up to more
+//! itself, as [`adaptive_limit`](crate::direct::limits::adaptive_limit) does, the lower bounds of these limits add up to more
 //! than the slots, and the excess waits in the targets' queues until they refuse it.
 //!
 //! While a service is overloaded, each of its slots has one owner: the slots of a failure domain are divided among the
 //! instances there. A single report group needs no quotas, since its instances know what all others place.
 //!
 //! The slots are divided in proportion to the demand that the instances share in
-//! [`capacity_report`](crate::direct::capacity_report).
+//! [`capacity_report`](crate::direct::reports::capacity_report).
 //!
 //! If only some failure domains are overloaded, the excess of their callers goes to the others. A domain has a quota at
 //! instances elsewhere only while its own instances report that its slots are used; otherwise the adaptive limit applies.
@@ -24,9 +24,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Timestamp;
-use crate::direct::capacity_report::GroupDemand;
-use crate::direct::capacity_report::GroupDemands;
-use crate::direct::capacity_report::OverloadedDomains;
+use crate::direct::reports::capacity_report::GroupDemand;
+use crate::direct::reports::capacity_report::GroupDemands;
+use crate::direct::reports::capacity_report::OverloadedDomains;
 use hawthornshift_model::InstanceId;
 
 /// Ratio of the open requests that an instance may have to the slots that it owns.
--- a/crates/core/src/direct/placement/search.rs
+++ b/crates/core/src/direct/placement/search.rs
@@ -15,8 +15,8 @@
 use super::Limit;
 use super::Placement;
 use crate::Timestamp;
-use crate::direct::directory::Target;
-use crate::direct::outlier::Availability;
+use crate::direct::store::directory::Target;
+use crate::direct::targets::outlier::Availability;
 use crate::rendezvous;
 use hawthornshift_model::TargetId;
 
--- a/crates/core/src/direct/capacity_report.rs
+++ b/crates/core/src/direct/reports/capacity_report.rs
@@ -2,7 +2,7 @@
 //! overload to the other failure domains.
 //!
 //! The expected load: a service is overloaded, and callers concentrate on some instances of a failure domain. Each
-//! instance reports its demand a few times a second while [`slot_quota`](crate::direct::slot_quota) divides the slots,
+//! instance reports its demand a few times a second while [`slot_quota`](crate::direct::limits::slot_quota) divides the slots,
 //! and at no other time. Reports are not acknowledged or retransmitted. An instance whose report is unknown or older
 //! than [`MAX_AGE`] counts with the average of the others.
 
--- a/crates/core/src/direct/load_report.rs
+++ b/crates/core/src/direct/reports/load_report.rs
@@ -4,7 +4,7 @@
 //! reported events and not the number of decisions. Reports are not acknowledged or retransmitted: a lost report makes
 //! a target appear to have one request more or fewer for at most a second.
 //!
-//! [`open_requests`](crate::direct::open_requests) decides which requests are reported: those that could change another
+//! [`open_requests`](crate::direct::targets::open_requests) decides which requests are reported: those that could change another
 //! instance's choice.
 
 use std::time::Duration;
--- a/crates/core/src/direct/message.rs
+++ b/crates/core/src/direct/reports/message.rs
@@ -9,11 +9,11 @@
 use strum::EnumIter;
 use strum::IntoStaticStr;
 
-use crate::direct::answer_time_report::AnswerTimeReport;
-use crate::direct::capacity_report::CapacityReport;
-use crate::direct::load_report::LoadReport;
+use crate::direct::reports::answer_time_report::AnswerTimeReport;
+use crate::direct::reports::capacity_report::CapacityReport;
+use crate::direct::reports::load_report::LoadReport;
 use crate::direct::segment::FlowHash;
-use crate::direct::store_entries::Delta;
+use crate::direct::store::store_entries::Delta;
 use crate::membership::ViewDigest;
 use crate::message::MemberUpdate;
 use crate::message::Sequence;
--- a/crates/core/src/direct/directory_lag.rs
+++ b/crates/core/src/direct/store/directory_lag.rs
@@ -15,7 +15,7 @@
 
 use crate::Timestamp;
 use crate::backoff;
-use crate::direct::watch::ANNOUNCE_PERIOD;
+use crate::direct::store::watch::ANNOUNCE_PERIOD;
 use crate::maps::FixedHashMap;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::Revision;
--- a/crates/core/src/direct/routes.rs
+++ b/crates/core/src/direct/store/routes.rs
@@ -10,11 +10,11 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
-use crate::direct::store_entries::Route;
-use crate::direct::store_entries::Routing;
-use crate::direct::store_entries::RoutingChange;
-use crate::direct::store_entries::StoreEntry;
-use crate::direct::store_entries::VersionedEntry;
+use crate::direct::store::store_entries::Route;
+use crate::direct::store::store_entries::Routing;
+use crate::direct::store::store_entries::RoutingChange;
+use crate::direct::store::store_entries::StoreEntry;
+use crate::direct::store::store_entries::VersionedEntry;
 use crate::maps::FixedHashMap;
 use hawthornshift_model::Revision;
 
--- a/crates/core/src/direct/watch.rs
+++ b/crates/core/src/direct/store/watch.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::Timestamp;
-use crate::direct::message::Announcement;
+use crate::direct::reports::message::Announcement;
 use hawthornshift_model::InstanceId;
 
 /// Time between two announcements of a watcher.
--- a/crates/core/src/direct/answer_times.rs
+++ b/crates/core/src/direct/targets/answer_times.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use crate::Timestamp;
-use crate::direct::smoothed_time::SmoothedTime;
-use crate::direct::smoothed_time::Weights;
+use crate::direct::targets::smoothed_time::SmoothedTime;
+use crate::direct::targets::smoothed_time::Weights;
 use crate::maps::FixedHashMap;
 
 /// Weights of a new sample.
--- a/crates/core/src/direct/domain_reach.rs
+++ b/crates/core/src/direct/targets/domain_reach.rs
@@ -5,7 +5,7 @@
 //! target after another. Handshakes that are not completed therefore also count against the target's failure domain,
 //! unless the domain has responded since. Each instance reports its findings to its group.
 //!
-//! Failure domains follow the same rules as targets in [`outlier`](crate::direct::outlier): a suspicion only ranks
+//! Failure domains follow the same rules as targets in [`outlier`](crate::direct::targets::outlier): a suspicion only ranks
 //! the domain's targets behind others, expires, and ends with the first completed handshake.
 
 use std::time::Duration;
@@ -13,9 +13,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Timestamp;
-use crate::direct::directory::Target;
-use crate::direct::outlier::Availability;
-use crate::direct::outlier::Outliers;
+use crate::direct::store::directory::Target;
+use crate::direct::targets::outlier::Availability;
+use crate::direct::targets::outlier::Outliers;
 use crate::maps::FixedHashMap;
 use hawthornshift_model::TargetId;
 
--- a/crates/core/src/direct/handshake_timeout.rs
+++ b/crates/core/src/direct/targets/handshake_timeout.rs
@@ -6,8 +6,8 @@
 
 use std::time::Duration;
 
-use crate::direct::smoothed_time::SmoothedTime;
-use crate::direct::smoothed_time::Weights;
+use crate::direct::targets::smoothed_time::SmoothedTime;
+use crate::direct::targets::smoothed_time::Weights;
 
 /// Minimum timeout. A handshake takes 7 ms when callers are 3 ms away from instances. A process that waits to be
 /// scheduled is delayed by tens of milliseconds, and a SYN that is sent twice without need costs a connection.
--- a/crates/core/src/direct/target_speed.rs
+++ b/crates/core/src/direct/targets/target_speed.rs
@@ -3,7 +3,7 @@
 //! The expected load: the targets of a service run on machines of different speed, so the same request takes 0.7 times
 //! the usual time at most of them and 1.7 times at the others. An instance sees too few answers of a target to notice:
 //! some 0.15 a second. The instances of a group therefore exchange counts and sums of answer times
-//! ([`answer_time_report`](crate::direct::answer_time_report)).
+//! ([`answer_time_report`](crate::direct::reports::answer_time_report)).
 //!
 //! Routes take different times, so a request is compared with the usual time of its route: the time of a request is
 //! modelled as the product of a time for its route and a factor for its target, and both are fitted to the sums. A
@@ -18,13 +18,13 @@
 use serde::Serialize;
 
 use crate::Timestamp;
-use crate::direct::answer_time_report::AnswerTimeReport;
-use crate::direct::answer_time_report::MAX_ENTRIES;
-use crate::direct::answer_time_report::ReportKind;
-use crate::direct::answer_time_report::RouteAnswerTimes;
-use crate::direct::answer_time_report::TargetAnswerTimes;
-use crate::direct::directory::Directory;
-use crate::direct::directory::Target;
+use crate::direct::reports::answer_time_report::AnswerTimeReport;
+use crate::direct::reports::answer_time_report::MAX_ENTRIES;
+use crate::direct::reports::answer_time_report::ReportKind;
+use crate::direct::reports::answer_time_report::RouteAnswerTimes;
+use crate::direct::reports::answer_time_report::TargetAnswerTimes;
+use crate::direct::store::directory::Directory;
+use crate::direct::store::directory::Target;
 use crate::maps::FixedHashMap;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::TargetId;
--- a/crates/core/tests/direct/bootstrap.rs
+++ b/crates/core/tests/direct/bootstrap.rs
@@ -10,11 +10,11 @@
 
 use crate::fleet::ms;
 use hawthornshift_core::Timestamp;
-use hawthornshift_core::direct::bootstrap::Bootstrap;
-use hawthornshift_core::direct::bootstrap::Discovery;
-use hawthornshift_core::direct::bootstrap::Sources;
-use hawthornshift_core::direct::message::Announcement;
-use hawthornshift_core::direct::watch::WatcherRole;
+use hawthornshift_core::direct::lifecycle::bootstrap::Bootstrap;
+use hawthornshift_core::direct::lifecycle::bootstrap::Discovery;
+use hawthornshift_core::direct::lifecycle::bootstrap::Sources;
+use hawthornshift_core::direct::reports::message::Announcement;
+use hawthornshift_core::direct::store::watch::WatcherRole;
 
 const FAST_LINK_MBPS: f64 = 1_000.0;
 const SLOW_LINK_MBPS: f64 = 10.0;
--- a/crates/core/tests/direct/convergence.rs
+++ b/crates/core/tests/direct/convergence.rs
@@ -16,7 +16,7 @@
 use crate::members::TICK_PERIOD;
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::fleet::ChangeLog;
-use hawthornshift_core::direct::message::MAX_DATAGRAM_BYTES;
+use hawthornshift_core::direct::reports::message::MAX_DATAGRAM_BYTES;
 use hawthornshift_core::membership::Identity;
 use hawthornshift_core::membership::Membership;
 use hawthornshift_core::membership::PeerView;
--- a/crates/core/tests/direct/directory.rs
+++ b/crates/core/tests/direct/directory.rs
@@ -18,15 +18,15 @@
 use crate::fleet::target_id;
 use crate::fleet::target_spec;
 use hawthornshift_core::Timestamp;
-use hawthornshift_core::direct::directory::Directory;
-use hawthornshift_core::direct::directory::Target;
-use hawthornshift_core::direct::directory::cookie;
 use hawthornshift_core::direct::segment::Cookie;
-use hawthornshift_core::direct::store_entries::Delta;
-use hawthornshift_core::direct::store_entries::Routing;
-use hawthornshift_core::direct::store_entries::StoreEntry;
-use hawthornshift_core::direct::store_entries::TargetSpec;
-use hawthornshift_core::direct::store_entries::VersionedEntry;
+use hawthornshift_core::direct::store::directory::Directory;
+use hawthornshift_core::direct::store::directory::Target;
+use hawthornshift_core::direct::store::directory::cookie;
+use hawthornshift_core::direct::store::store_entries::Delta;
+use hawthornshift_core::direct::store::store_entries::Routing;
+use hawthornshift_core::direct::store::store_entries::StoreEntry;
+use hawthornshift_core::direct::store::store_entries::TargetSpec;
+use hawthornshift_core::direct::store::store_entries::VersionedEntry;
 use hawthornshift_model::TargetId;
 
 /// Returns the decisive part of a directory: targets that may get flows, evacuated domains, and the version of the
--- a/crates/core/tests/direct/directory_lag.rs
+++ b/crates/core/tests/direct/directory_lag.rs
@@ -7,14 +7,14 @@
 use crate::fleet::target_id;
 use crate::fleet::target_spec;
 use hawthornshift_core::direct::decision::Outcome;
-use hawthornshift_core::direct::directory_lag::DirectoryLag;
-use hawthornshift_core::direct::directory_lag::MissingRevision;
-use hawthornshift_core::direct::directory_lag::PlacementGate;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
-use hawthornshift_core::direct::store_entries::Delta;
-use hawthornshift_core::direct::store_entries::StoreEntry;
-use hawthornshift_core::direct::store_entries::TargetSpec;
-use hawthornshift_core::direct::store_entries::VersionedEntry;
+use hawthornshift_core::direct::store::directory_lag::DirectoryLag;
+use hawthornshift_core::direct::store::directory_lag::MissingRevision;
+use hawthornshift_core::direct::store::directory_lag::PlacementGate;
+use hawthornshift_core::direct::store::store_entries::Delta;
+use hawthornshift_core::direct::store::store_entries::StoreEntry;
+use hawthornshift_core::direct::store::store_entries::TargetSpec;
+use hawthornshift_core::direct::store::store_entries::VersionedEntry;
 
 /// The bound that instances assume if the deployment states none.
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
--- a/crates/core/tests/direct/fair_share.rs
+++ b/crates/core/tests/direct/fair_share.rs
@@ -12,18 +12,18 @@
 use crate::fleet::WhenFull;
 use crate::fleet::ms;
 use crate::fleet::routing;
-use hawthornshift_core::direct::caller_rates::CallerRates;
-use hawthornshift_core::direct::fair_share::ClassUse;
-use hawthornshift_core::direct::fair_share::Demand;
-use hawthornshift_core::direct::fair_share::FairShares;
-use hawthornshift_core::direct::fair_share::FlowClass;
-use hawthornshift_core::direct::fair_share::ServiceUse;
-use hawthornshift_core::direct::fair_share::Standing;
-use hawthornshift_core::direct::fair_share::max_min_shares;
-use hawthornshift_core::direct::fair_share::weight;
+use hawthornshift_core::direct::limits::caller_rates::CallerRates;
+use hawthornshift_core::direct::limits::fair_share::ClassUse;
+use hawthornshift_core::direct::limits::fair_share::Demand;
+use hawthornshift_core::direct::limits::fair_share::FairShares;
+use hawthornshift_core::direct::limits::fair_share::FlowClass;
+use hawthornshift_core::direct::limits::fair_share::ServiceUse;
+use hawthornshift_core::direct::limits::fair_share::Standing;
+use hawthornshift_core::direct::limits::fair_share::max_min_shares;
+use hawthornshift_core::direct::limits::fair_share::weight;
 use hawthornshift_core::direct::mechanisms::Mechanism;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
-use hawthornshift_core::direct::store_entries::Route;
+use hawthornshift_core::direct::store::store_entries::Route;
 
 fn secs(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
--- a/crates/core/tests/direct/hanging.rs
+++ b/crates/core/tests/direct/hanging.rs
@@ -7,10 +7,10 @@
 use crate::fleet::ms;
 use crate::fleet::service_address;
 use crate::fleet::target_id;
-use hawthornshift_core::direct::answer_times::AnswerTimes;
 use hawthornshift_core::direct::decision::Outcome;
 use hawthornshift_core::direct::mechanisms::Mechanism;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
+use hawthornshift_core::direct::targets::answer_times::AnswerTimes;
 
 /// Requests per second: half the capacity of 14 targets with 2 slots.
 const USUAL_RATE: f64 = 425.0;
--- a/crates/core/tests/direct/load.rs
+++ b/crates/core/tests/direct/load.rs
@@ -6,9 +6,9 @@
 use crate::fleet::domain;
 use crate::fleet::ms;
 use crate::fleet::target_id;
-use hawthornshift_core::direct::store_entries::Delta;
-use hawthornshift_core::direct::store_entries::StoreEntry;
-use hawthornshift_core::direct::store_entries::VersionedEntry;
+use hawthornshift_core::direct::store::store_entries::Delta;
+use hawthornshift_core::direct::store::store_entries::StoreEntry;
+use hawthornshift_core::direct::store::store_entries::VersionedEntry;
 
 /// Requests per second: half the capacity of 14 targets with 2 slots.
 const USUAL_RATE: f64 = 425.0;
--- a/crates/core/tests/direct/members.rs
+++ b/crates/core/tests/direct/members.rs
@@ -16,13 +16,13 @@
 
 use crate::fleet::ms;
 use hawthornshift_core::Timestamp;
-use hawthornshift_core::direct::bootstrap::Bootstrap;
-use hawthornshift_core::direct::bootstrap::Sources;
 use hawthornshift_core::direct::fleet::Fleet;
 use hawthornshift_core::direct::fleet::FleetEffect;
 use hawthornshift_core::direct::fleet::instance_id;
-use hawthornshift_core::direct::message::Frame;
-use hawthornshift_core::direct::store_entries::Delta;
+use hawthornshift_core::direct::lifecycle::bootstrap::Bootstrap;
+use hawthornshift_core::direct::lifecycle::bootstrap::Sources;
+use hawthornshift_core::direct::reports::message::Frame;
+use hawthornshift_core::direct::store::store_entries::Delta;
 use hawthornshift_core::membership::Identity;
 use hawthornshift_model::InstanceId;
 use hawthornshift_model::Revision;
--- a/crates/core/tests/direct/readiness.rs
+++ b/crates/core/tests/direct/readiness.rs
@@ -8,12 +8,12 @@
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::dispatcher::Dispatcher;
 use hawthornshift_core::direct::dispatcher::DispatcherConfig;
-use hawthornshift_core::direct::link_budget::WIDE_LINK_MBPS;
+use hawthornshift_core::direct::lifecycle::readiness::Readiness;
+use hawthornshift_core::direct::limits::link_budget::WIDE_LINK_MBPS;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
-use hawthornshift_core::direct::readiness::Readiness;
-use hawthornshift_core::direct::store_entries::Delta;
-use hawthornshift_core::direct::store_entries::StoreEntry;
-use hawthornshift_core::direct::store_entries::VersionedEntry;
+use hawthornshift_core::direct::store::store_entries::Delta;
+use hawthornshift_core::direct::store::store_entries::StoreEntry;
+use hawthornshift_core::direct::store::store_entries::VersionedEntry;
 
 /// Returns the dispatcher of an instance whose own failure domain is evacuated.
 fn in_evacuated_domain() -> Dispatcher {
--- a/crates/core/tests/direct/routes.rs
+++ b/crates/core/tests/direct/routes.rs
@@ -14,15 +14,15 @@
 use proptest::test_runner::RngSeed;
 
 use crate::fleet::SERVICE;
-use hawthornshift_core::direct::directory::Directory;
-use hawthornshift_core::direct::store_entries::Delta;
-use hawthornshift_core::direct::store_entries::RequestKind;
-use hawthornshift_core::direct::store_entries::Route;
-use hawthornshift_core::direct::store_entries::Routing;
-use hawthornshift_core::direct::store_entries::ServiceSpec;
-use hawthornshift_core::direct::store_entries::Share;
-use hawthornshift_core::direct::store_entries::StoreEntry;
-use hawthornshift_core::direct::store_entries::VersionedEntry;
+use hawthornshift_core::direct::store::directory::Directory;
+use hawthornshift_core::direct::store::store_entries::Delta;
+use hawthornshift_core::direct::store::store_entries::RequestKind;
+use hawthornshift_core::direct::store::store_entries::Route;
+use hawthornshift_core::direct::store::store_entries::Routing;
+use hawthornshift_core::direct::store::store_entries::ServiceSpec;
+use hawthornshift_core::direct::store::store_entries::Share;
+use hawthornshift_core::direct::store::store_entries::StoreEntry;
+use hawthornshift_core::direct::store::store_entries::VersionedEntry;
 use hawthornshift_model::Revision;
 
 const INSTANCES: usize = 4;
--- a/crates/core/tests/direct/rules.rs
+++ b/crates/core/tests/direct/rules.rs
@@ -18,25 +18,25 @@
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::decision::Decision;
 use hawthornshift_core::direct::decision::Outcome;
-use hawthornshift_core::direct::directory::cookie;
 use hawthornshift_core::direct::dispatcher::Dispatcher;
 use hawthornshift_core::direct::dispatcher::DispatcherConfig;
 use hawthornshift_core::direct::dispatcher::Effect;
 use hawthornshift_core::direct::dispatcher::Packet;
-use hawthornshift_core::direct::link_budget::WIDE_LINK_MBPS;
-use hawthornshift_core::direct::load_report::LoadReport;
-use hawthornshift_core::direct::load_report::OpenRequest;
+use hawthornshift_core::direct::lifecycle::pause::PauseDetector;
+use hawthornshift_core::direct::limits::link_budget::WIDE_LINK_MBPS;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
-use hawthornshift_core::direct::outlier::Availability;
-use hawthornshift_core::direct::pause::PauseDetector;
+use hawthornshift_core::direct::reports::load_report::LoadReport;
+use hawthornshift_core::direct::reports::load_report::OpenRequest;
 use hawthornshift_core::direct::segment::Cookie;
 use hawthornshift_core::direct::segment::FlowId;
 use hawthornshift_core::direct::segment::Segment;
 use hawthornshift_core::direct::segment::SegmentKind;
-use hawthornshift_core::direct::store_entries::Delta;
-use hawthornshift_core::direct::store_entries::Routing;
-use hawthornshift_core::direct::store_entries::StoreEntry;
-use hawthornshift_core::direct::store_entries::VersionedEntry;
+use hawthornshift_core::direct::store::directory::cookie;
+use hawthornshift_core::direct::store::store_entries::Delta;
+use hawthornshift_core::direct::store::store_entries::Routing;
+use hawthornshift_core::direct::store::store_entries::StoreEntry;
+use hawthornshift_core::direct::store::store_entries::VersionedEntry;
+use hawthornshift_core::direct::targets::outlier::Availability;
 
 fn dispatcher() -> Dispatcher {
     Dispatcher::new(DispatcherConfig {
--- a/crates/core/tests/direct/slot_quota.rs
+++ b/crates/core/tests/direct/slot_quota.rs
@@ -8,16 +8,16 @@
 use crate::fleet::Sim;
 use crate::fleet::WhenFull;
 use crate::fleet::ms;
-use hawthornshift_core::direct::capacity_report::GroupDemand;
-use hawthornshift_core::direct::capacity_report::GroupDemands;
-use hawthornshift_core::direct::capacity_report::MAX_AGE;
-use hawthornshift_core::direct::capacity_report::REPORT_PERIOD;
-use hawthornshift_core::direct::capacity_report::ServiceDemand;
-use hawthornshift_core::direct::capacity_report::recipients;
+use hawthornshift_core::direct::limits::slot_quota::QuotaInputs;
+use hawthornshift_core::direct::limits::slot_quota::SlotQuotas;
 use hawthornshift_core::direct::mechanisms::Mechanism;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
-use hawthornshift_core::direct::slot_quota::QuotaInputs;
-use hawthornshift_core::direct::slot_quota::SlotQuotas;
+use hawthornshift_core::direct::reports::capacity_report::GroupDemand;
+use hawthornshift_core::direct::reports::capacity_report::GroupDemands;
+use hawthornshift_core::direct::reports::capacity_report::MAX_AGE;
+use hawthornshift_core::direct::reports::capacity_report::REPORT_PERIOD;
+use hawthornshift_core::direct::reports::capacity_report::ServiceDemand;
+use hawthornshift_core::direct::reports::capacity_report::recipients;
 use hawthornshift_model::InstanceId;
 
 /// Usual rate of requests per second for 120 targets of 2 slots with requests of 40 ms: a quarter of the capacity.
--- a/crates/core/tests/direct/watching.rs
+++ b/crates/core/tests/direct/watching.rs
@@ -8,9 +8,9 @@
 use hawthornshift_core::direct::fleet::Fleet;
 use hawthornshift_core::direct::fleet::FleetEffect;
 use hawthornshift_core::direct::fleet::instance_id;
-use hawthornshift_core::direct::message::Announcement;
-use hawthornshift_core::direct::watch::RoleChange;
-use hawthornshift_core::direct::watch::WatcherRole;
+use hawthornshift_core::direct::reports::message::Announcement;
+use hawthornshift_core::direct::store::watch::RoleChange;
+use hawthornshift_core::direct::store::watch::WatcherRole;
 use hawthornshift_core::membership::Identity;
 use hawthornshift_model::Revision;
 
--- a/crates/direct/src/checker.rs
+++ b/crates/direct/src/checker.rs
@@ -8,8 +8,8 @@
 use tokio::sync::mpsc;
 
 use crate::command::Command;
-use hawthornshift_core::direct::reachability::CHECK_LIMIT;
-use hawthornshift_core::direct::reachability::CheckOutcome;
+use hawthornshift_core::direct::targets::reachability::CHECK_LIMIT;
+use hawthornshift_core::direct::targets::reachability::CheckOutcome;
 use hawthornshift_model::TargetId;
 
 /// Starts a task that connects to a target and sends the outcome to the process loop as [`Command::CheckFinished`].
--- a/crates/direct/src/command.rs
+++ b/crates/direct/src/command.rs
@@ -4,9 +4,9 @@
 
 use tokio::sync::oneshot;
 
-use hawthornshift_core::direct::message::Handover;
-use hawthornshift_core::direct::reachability::CheckOutcome;
-use hawthornshift_core::direct::store_entries::Delta;
+use hawthornshift_core::direct::reports::message::Handover;
+use hawthornshift_core::direct::store::store_entries::Delta;
+use hawthornshift_core::direct::targets::reachability::CheckOutcome;
 use hawthornshift_model::Revision;
 use hawthornshift_model::TargetId;
 
--- a/crates/direct/src/decision_log.rs
+++ b/crates/direct/src/decision_log.rs
@@ -10,7 +10,7 @@
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::decision::Decision;
 use hawthornshift_core::direct::decision::Outcome;
-use hawthornshift_core::direct::reachability::ReachabilityChange;
+use hawthornshift_core::direct::targets::reachability::ReachabilityChange;
 use hawthornshift_model::Revision;
 
 /// Period over which lines are counted against the limit.
--- a/crates/direct/src/dump.rs
+++ b/crates/direct/src/dump.rs
@@ -8,13 +8,13 @@
 use crate::peers::PeerCounts;
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::decision::OutcomeCounts;
-use hawthornshift_core::direct::directory::Target;
 use hawthornshift_core::direct::dispatcher::Dispatcher;
-use hawthornshift_core::direct::fair_share::ServiceUse;
 use hawthornshift_core::direct::fleet::Fleet;
-use hawthornshift_core::direct::link_budget::LinkStatus;
+use hawthornshift_core::direct::limits::fair_share::ServiceUse;
+use hawthornshift_core::direct::limits::link_budget::LinkStatus;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
-use hawthornshift_core::direct::target_speed::SpeedEstimate;
+use hawthornshift_core::direct::store::directory::Target;
+use hawthornshift_core::direct::targets::target_speed::SpeedEstimate;
 use hawthornshift_core::message::MemberUpdate;
 
 /// Counters of the process itself.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -8,8 +8,8 @@
 use crate::dump::Sources;
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::decision::Outcome;
-use hawthornshift_core::direct::link_budget::LinkState;
-use hawthornshift_core::direct::message::FrameKind;
+use hawthornshift_core::direct::limits::link_budget::LinkState;
+use hawthornshift_core::direct::reports::message::FrameKind;
 
 /// Exported quantiles of the latency histograms, with their label values.
 const QUANTILES: [(f64, &str); 4] = [(0.5, "0.5"), (0.9, "0.9"), (0.99, "0.99"), (1.0, "1")];
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -14,11 +14,11 @@
 
 use hawthornshift_adapters::http_client::Call;
 use hawthornshift_adapters::http_client::ExchangeError;
-use hawthornshift_core::direct::message::Frame;
-use hawthornshift_core::direct::message::FrameKind;
-use hawthornshift_core::direct::message::Handover;
-use hawthornshift_core::direct::message::MAX_DATAGRAM_BYTES;
-use hawthornshift_core::direct::store_entries::Delta;
+use hawthornshift_core::direct::reports::message::Frame;
+use hawthornshift_core::direct::reports::message::FrameKind;
+use hawthornshift_core::direct::reports::message::Handover;
+use hawthornshift_core::direct::reports::message::MAX_DATAGRAM_BYTES;
+use hawthornshift_core::direct::store::store_entries::Delta;
 use hawthornshift_model::Revision;
 
 /// Protocol version of the datagrams. Other versions are dropped, so that no instance misreads one during a rolling upgrade.
--- a/crates/direct/src/process/store_updates.rs
+++ b/crates/direct/src/process/store_updates.rs
@@ -20,10 +20,10 @@
 use crate::peers;
 use crate::peers::HandoverError;
 use hawthornshift_core::Timestamp;
-use hawthornshift_core::direct::bootstrap::Sources;
-use hawthornshift_core::direct::message::Handover;
-use hawthornshift_core::direct::store_entries::Delta;
-use hawthornshift_core::direct::watch::RoleChange;
+use hawthornshift_core::direct::lifecycle::bootstrap::Sources;
+use hawthornshift_core::direct::reports::message::Handover;
+use hawthornshift_core::direct::store::store_entries::Delta;
+use hawthornshift_core::direct::store::watch::RoleChange;
 use hawthornshift_model::Revision;
 
 impl Process {
--- a/crates/direct/src/store_reader.rs
+++ b/crates/direct/src/store_reader.rs
@@ -9,8 +9,8 @@
 
 use crate::command::Command;
 use crate::command::StoreReaderMode;
-use hawthornshift_core::direct::store_entries::Delta;
-use hawthornshift_core::direct::watch::WATCH_WAIT;
+use hawthornshift_core::direct::store::store_entries::Delta;
+use hawthornshift_core::direct::store::watch::WATCH_WAIT;
 use hawthornshift_model::Revision;
 use hawthornshift_platform::store::Answer;
 use hawthornshift_platform::store::StoreClient;
--- a/crates/direct/tests/handovers.rs
+++ b/crates/direct/tests/handovers.rs
@@ -4,11 +4,11 @@
 use proptest::collection::vec;
 use proptest::proptest;
 
-use hawthornshift_core::direct::message::Handover;
-use hawthornshift_core::direct::store_entries::Delta;
-use hawthornshift_core::direct::store_entries::StoreEntry;
-use hawthornshift_core::direct::store_entries::TargetSpec;
-use hawthornshift_core::direct::store_entries::VersionedEntry;
+use hawthornshift_core::direct::reports::message::Handover;
+use hawthornshift_core::direct::store::store_entries::Delta;
+use hawthornshift_core::direct::store::store_entries::StoreEntry;
+use hawthornshift_core::direct::store::store_entries::TargetSpec;
+use hawthornshift_core::direct::store::store_entries::VersionedEntry;
 use hawthornshift_direct::peers::HandoverError;
 use hawthornshift_direct::peers::decode_handover;
 use hawthornshift_direct::peers::encode_handover;
