Let slow links hold back from the store by the size of the fleet

Ruled out: a wait for seeds in proportion to the position in the ranking; in virtual time 79 to 136 of 584 instances then read together. Change: an instance on a slow link that does not know all others holds back 1 ms for each instance that is reported, at least 120 ms. The wait for seeds stays: without an answer a small fleet cannot be told from a large one. The simulation runs due timers of instances that start, as the process does.

--- a/crates/core/src/direct/lifecycle/bootstrap.rs
+++ b/crates/core/src/direct/lifecycle/bootstrap.rs
@@ -64,9 +64,9 @@
 const SEED_WAIT: Duration = Duration::from_millis(100);
 /// Additional delay of an instance on a slow link, in favor of those on faster links.
 const SLOW_LINK_DELAY: Duration = Duration::from_millis(120);
-/// [`SLOW_LINK_DELAY`] of an instance that does not know all others yet. A read over a slow link takes a second and would be
-/// done later than the handovers that follow a read over a fast one.
-const SLOW_LINK_DELAY_AMONG_UNKNOWN: Duration = Duration::from_millis(400);
+/// The same delay for each known instance, while an instance does not know all others yet. The larger the fleet, the longer
+/// its state takes over a slow link, and the sooner handovers that follow a read over a fast one are done.
+const SLOW_LINK_DELAY_PER_INSTANCE: Duration = Duration::from_millis(1);
 /// What an instance knows of the others that may read the store.
 #[derive(Clone, Copy, Debug)]
 pub struct Discovery {
@@ -205,10 +205,10 @@
         let is_fast_among_unknown = !self.slow_link && !discovery.is_complete();
         let turn_period = if is_fast_among_unknown { FAST_LINK_TURN_PERIOD } else { TURN_PERIOD };
         let turn_delay = (turn_period * (rank / self.concurrent_readers)).min(MAX_TURN_DELAY);
-        let slow_link_delay = match (self.slow_link, discovery.is_complete()) {
-            (true, true) if rank > 0 => SLOW_LINK_DELAY,
-            (true, false) => SLOW_LINK_DELAY_AMONG_UNKNOWN,
-            (true, true) | (false, _) => Duration::ZERO,
+        let slow_link_delay = match (self.slow_link && rank > 0, discovery.is_complete()) {
+            (false, _) => Duration::ZERO,
+            (true, true) => SLOW_LINK_DELAY,
+            (true, false) => SLOW_LINK_DELAY.max(SLOW_LINK_DELAY_PER_INSTANCE * discovery.reported).min(MAX_TURN_DELAY),
         };
         let seed_wait = if discovery.awaits_seeds { SEED_WAIT } else { Duration::ZERO };
         let due = self.read_after + turn_delay + slow_link_delay + seed_wait;
--- a/crates/core/tests/direct/members.rs
+++ b/crates/core/tests/direct/members.rs
@@ -328,7 +328,13 @@
 
     /// Lets an instance without state ask a peer or read the store, if that is due.
     fn poll_bootstrap(&mut self, index: usize, incarnation: u64) {
+        let now = self.now;
         let Some(instance) = self.instances[index].as_mut().filter(|instance| instance.revision == 0) else { return };
+        if now >= instance.fleet.next_due() {
+            let effects = instance.fleet.tick(now, 0);
+            self.carry_out(index, effects);
+        }
+        let Some(instance) = self.instances[index].as_mut() else { return };
         let Instance { fleet, bootstrap, .. } = instance;
         let since_start = self.now.saturating_sub(instance.started_at);
         if !instance.is_pulling && bootstrap.is_ask_due(since_start) {
