Hand the state over mostly inside a failure domain

Cause: an instance that starts asks any peer that has the state, five of six in other failure domains. Change: of three invitations two go to the own domain, and three of four requests go there if a peer in it has the state. Invitations carry no member updates.

--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
@@ -84,6 +85,8 @@
 /// Maximum number of up-to-date peers to keep. It is large enough that instances which start together do not all
 /// contact the same few peers.
 const MAX_UP_TO_DATE_PEERS: usize = 16;
+/// Fraction of the requests for the state that may go to another failure domain although a peer in the own one has it.
+const FAR_SOURCE_FRACTION: f64 = 0.25;
 /// Time for which a peer's report that it has no state counts. A peer that still has none reports it several times in
 /// between.
 const STATELESS_PEER_VALIDITY: Duration = Duration::from_millis(500);
@@ -264,10 +267,18 @@
         alive.filter(|member| member.failure_domain != *domain).map(|member| member.control).collect()
     }
 
-    /// Returns the addresses of peers that know the store's contents.
-    #[must_use]
-    pub fn up_to_date_peers(&self) -> Vec<SocketAddr> {
-        self.up_to_date_peers.iter().copied().collect()
+    /// Returns the addresses of peers that know the store's contents: mostly only those of the own failure domain, if any
+    /// of them does, since links between failure domains are expensive. They may be too busy, so it is not always so.
+    pub fn up_to_date_peers(&mut self) -> Vec<SocketAddr> {
+        let domain = &self.membership.me().failure_domain;
+        let is_near = |address: &SocketAddr| {
+            self.membership.member(instance_id(*address)).is_some_and(|member| member.failure_domain == *domain)
+        };
+        let near: Vec<SocketAddr> = self.up_to_date_peers.iter().copied().filter(is_near).collect();
+        if near.is_empty() || self.rng.random_bool(FAR_SOURCE_FRACTION) {
+            return self.up_to_date_peers.iter().copied().collect();
+        }
+        near
     }
 
     /// Returns the sender of the latest announcement that arrived before this instance had any state.
@@ -296,17 +307,22 @@
             return Vec::new();
         }
         let peers = self.membership.reachable().filter(|member| !self.up_to_date_peers.contains(&member.control));
-        let ids = peers.map(|member| member.id).choose_multiple(&mut self.rng, count);
-        self.send_heartbeats(now, ids, revision)
+        let domain = self.membership.me().failure_domain.as_str();
+        let (near, far): (Vec<_>, Vec<_>) = peers.partition(|member| member.failure_domain == domain);
+        // Links between failure domains are expensive, so one handover of several goes there.
+        let mut ids: Vec<InstanceId> = Vec::new();
+        let near_count = count.saturating_sub(1).max(1).min(count);
+        ids.extend(near.into_iter().map(|member| member.id).choose_multiple(&mut self.rng, near_count));
+        ids.extend(far.into_iter().map(|member| member.id).choose_multiple(&mut self.rng, count - ids.len()));
+        self.send_heartbeats(now, &ids, revision)
     }
 
     /// Returns heartbeats that answer no ping, from which their recipients learn of this instance's revision.
-    fn send_heartbeats(&mut self, now: Timestamp, to: Vec<InstanceId>, revision: Revision) -> Vec<FleetEffect> {
-        let send = |id| {
-            let heartbeat = self.heartbeat(now, id, 0, revision, PeerView::Unknown);
-            self.send_to_member(id, Message::Ack(heartbeat))
-        };
-        to.into_iter().filter_map(send).collect()
+    fn send_heartbeats(&self, now: Timestamp, to: &[InstanceId], revision: Revision) -> Vec<FleetEffect> {
+        let (serving, view) = (self.serving_count(), self.membership.digest().combined_hash());
+        let age = self.watcher_role.age(now);
+        let heartbeat = Heartbeat { sequence: 0, serving, view, revision, age, members: Vec::new() };
+        to.iter().filter_map(|id| self.send_to_member(*id, Message::Ack(heartbeat.clone()))).collect()
     }
 
     /// Returns the addresses of all instances that appear to be alive.
--- a/crates/core/src/direct/fleet/store_updates.rs
+++ b/crates/core/src/direct/fleet/store_updates.rs
@@ -203,7 +203,7 @@
         let domain = self.membership.me().failure_domain.as_str();
         let neighbors = self.membership.reachable().filter(|member| member.failure_domain == domain);
         let ids = neighbors.map(|member| member.id).choose_multiple(&mut self.rng, MAX_NOTIFIED_NEIGHBORS);
-        self.send_heartbeats(now, ids, revision)
+        self.send_heartbeats(now, &ids, revision)
     }
 }
 
