Test when an instance has to be woken

Cause: regular timers wait for other events now, which no test covered; a timer that its own tick leaves due would spin the loop. Change: tests of the idle review, of the review while a request is open, and of the fleet's timers after each tick.

--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -22,4 +22,5 @@
 mod slot_quota;
 mod store_updates;
 mod target_speed;
+mod timers;
 mod watching;
--- a/crates/core/tests/direct/members.rs
+++ b/crates/core/tests/direct/members.rs
@@ -425,6 +425,19 @@
         }
     }
 
+    /// Runs a tick of each running instance, and returns when the next one is due.
+    pub fn tick_all(&mut self) -> Vec<Timestamp> {
+        let now = self.now;
+        let mut dues = Vec::new();
+        for index in 0..self.instances.len() {
+            let Some(instance) = &mut self.instances[index] else { continue };
+            let effects = instance.fleet.tick(now, instance.revision);
+            dues.push(instance.fleet.next_due());
+            self.carry_out(index, effects);
+        }
+        dues
+    }
+
     /// Returns the time after `since` at which each running, unfrozen instance reached the store's revision, in
     /// ascending order; `None` for one that has not reached it.
     pub fn times_to_revision(&self, since: Timestamp) -> Vec<Option<Duration>> {
