--- a/crates/core/src/direct/lifecycle/bootstrap.rs
+++ b/crates/core/src/direct/lifecycle/bootstrap.rs
@@ -30,11 +30,11 @@
 const ASK_PERIOD: Duration = Duration::from_millis(60);
 /// Time after the read delay from which any peer is asked, even one that has not announced that it is up to date.
 const ASK_ANY_PEER_DELAY: Duration = Duration::from_millis(300);
-/// Part of the interval between two requests to peers that have not announced that they are up to date, for each known
-/// instance: together the instances of a fleet of any size send one such request in this time.
+/// Interval between two requests to peers that may not be up to date, for each known instance, so that a starting fleet of
+/// any size sends one such request in this time.
 const ASK_ANY_PERIOD_PER_INSTANCE: Duration = Duration::from_millis(2);
-/// Delay of the request to the sender of an announcement, for each known instance. One instance transfers its state to
-/// three others in the time in which twenty are asked to wait.
+/// Maximum delay of the request to the sender of an announcement, for each known instance, so that the sender receives one
+/// request in this time, however many instances the announcement has reached.
 const ANNOUNCED_DELAY_PER_INSTANCE: Duration = Duration::from_millis(2);
 /// Interval between two attempts to select a peer while there is none to ask.
 const PEER_POLL_PERIOD: Duration = Duration::from_millis(10);
@@ -64,9 +64,10 @@
 const SEED_WAIT: Duration = Duration::from_millis(100);
 /// Additional delay of an instance on a slow link, in favor of those on faster links.
 const SLOW_LINK_DELAY: Duration = Duration::from_millis(120);
-/// The same delay for each known instance, while an instance does not know all others yet. The larger the fleet, the longer
+/// The same delay for each instance that peers report, while an instance does not know all of them yet. The larger the fleet, the longer
 /// its state takes over a slow link, and the sooner handovers that follow a read over a fast one are done.
 const SLOW_LINK_DELAY_PER_INSTANCE: Duration = Duration::from_millis(1);
+
 /// What an instance knows of the others that may read the store.
 #[derive(Clone, Copy, Debug)]
 pub struct Discovery {
@@ -106,7 +107,7 @@
 /// Peers that an instance may ask for its state.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Sources<'a> {
-    /// Peers that have stated to this instance alone that they are up to date.
+    /// Peers whose heartbeats to this instance state that they are up to date.
     pub up_to_date: &'a [SocketAddr],
     /// The latest sender of an announcement to all instances.
     pub announced: Option<SocketAddr>,
