Report overload of a failure domain only when hardly any slot is free

Cause: while quotas are in force, a domain reported overload to the others as soon as it had one open request for each slot. Requests also count as open during their handshake and until they are acknowledged; 2.4 are open for each slot when all slots work. So a domain that took the excess of a flooded neighbor closed itself with more than half of its slots free. Change: the report begins at 0.7 of the open requests that the quotas of the domain allow.

--- a/crates/core/src/direct/dispatcher/quotas.rs
+++ b/crates/core/src/direct/dispatcher/quotas.rs
@@ -38,7 +38,7 @@
     /// number, if this instance is one of the group's reporters in this round.
     #[must_use]
     pub fn overload_report(&self, round: usize) -> Option<CapacityReport> {
-        let services: Vec<_> = self.slot_quotas.in_force().map(|(service, _)| service_key(service)).collect();
+        let services: Vec<_> = self.slot_quotas.overloaded().map(service_key).collect();
         let reports = !services.is_empty() && reports_overload(self.config.id, &self.group, round);
         reports.then(|| CapacityReport::Overloaded { domain: domain_key(&self.config.domain), services })
     }
--- a/crates/core/src/direct/limits/slot_quota.rs
+++ b/crates/core/src/direct/limits/slot_quota.rs
@@ -35,6 +35,9 @@
 /// targets without knowing all requests of the others. A lower ratio leaves slots idle, a higher one fills the targets'
 /// queues.
 const OPEN_PER_SLOT: f64 = 2.4;
+/// Fraction of what the quotas of a failure domain allow from which the domain reports that it is overloaded. Below it,
+/// requests of other domains find free slots there.
+const OVERLOADED_FRACTION: f64 = 0.7;
 /// Time with fewer open requests than slots after which the quotas of a service are removed.
 const RELEASE_TIME: Duration = Duration::from_secs(1);
 /// Smallest demand with which an instance counts, as a fraction of the average. An instance without arrivals would
@@ -95,6 +98,12 @@
         self.slots.get(self.domain).is_none_or(|slots| self.demand.open >= f64::from(*slots))
     }
 
+    /// Returns whether the group has so many requests open in its failure domain that hardly any slot is free.
+    fn is_overloaded(&self) -> bool {
+        let slots = self.slots.get(self.domain).copied().unwrap_or(0);
+        slots > 0 && self.demand.open >= f64::from(slots) * OPEN_PER_SLOT * OVERLOADED_FRACTION
+    }
+
     /// Returns a quota rounded up or down. The instances round differently, so that the sum is that of the quotas
     /// before rounding, up to its random deviation.
     fn round(&self, now: Timestamp, domain: &str, quota: f64) -> u32 {
@@ -121,6 +130,8 @@
     last_used: Timestamp,
     /// Number of requests that this instance may have open, by failure domain.
     domains: BTreeMap<String, u32>,
+    /// Whether hardly any slot is free in the instance's own failure domain.
+    is_overloaded: bool,
 }
 
 /// Start or end of the quotas of a service.
@@ -172,6 +183,11 @@
         self.services.iter().map(|(name, service)| (name.as_str(), &service.domains))
     }
 
+    /// Returns the services of which hardly any slot is free in the instance's own failure domain.
+    pub fn overloaded(&self) -> impl Iterator<Item = &str> {
+        self.services.iter().filter(|(_, service)| service.is_overloaded).map(|(name, _)| name.as_str())
+    }
+
     /// Adds a sample of the arrival rate of new flows, per second.
     pub fn sample_arrivals(&mut self, service: &str, per_second: f64) {
         let rate = self.arrivals.entry(service.to_owned()).or_insert(per_second);
@@ -200,8 +216,10 @@
             .collect();
         let at_home = domains.get(inputs.domain).copied().unwrap_or(0);
         let known = self.services.entry(service.to_owned());
-        let known = known.or_insert_with(|| ServiceQuotas { last_used: now, domains: BTreeMap::new() });
+        let known =
+            known.or_insert_with(|| ServiceQuotas { last_used: now, domains: BTreeMap::new(), is_overloaded: false });
         known.domains = domains;
+        known.is_overloaded = inputs.is_overloaded();
         if inputs.are_slots_used() && (inputs.limited || inputs.slots.contains_key(inputs.domain)) {
             known.last_used = now;
         }
--- a/crates/core/tests/direct/slot_quota.rs
+++ b/crates/core/tests/direct/slot_quota.rs
@@ -171,6 +171,19 @@
     assert!(recipients(&[], 7, 1).is_empty());
 }
 
+/// Guards against a domain that reports overload while it has free slots, so that callers of a flooded domain are refused
+/// although their neighbor could serve them.
+#[test]
+fn a_domain_with_free_slots_does_not_report_overload() {
+    // 2.4 requests are open for each of 60 slots when all of them work.
+    for (open, overloaded) in [(60.0, false), (100.0, false), (130.0, true)] {
+        let mut quotas = SlotQuotas::default();
+        quotas.review(secs(1), SERVICE, &QuotaInputs { demand: demand(open), ..inputs(0) });
+        assert!(quotas.is_in_force(SERVICE));
+        assert_eq!(quotas.overloaded().next().is_some(), overloaded, "{open} requests open");
+    }
+}
+
 /// Guards against members of a large group that know the demand of all others at one time and of none at another.
 #[test]
 fn each_member_always_knows_the_demand_of_a_sample_of_a_large_group() {
