Count slots of store entries in 64 bits, and saturate times that the store gives

Cause: the directory adds the slots of all entries of a service and failure domain in 32 bits, whether the service is used or not. Each entry gave 4,294,967,295 slots; the sum of two overflows, and the release profile checks overflow.

Change: the sums have 64 bits and stay exact when entries leave; what is read from them is capped at u32::MAX. A sum that saturates would be wrong after a removal. The same cause on related paths: the room at a target (slots plus queue) and the end of a slow start (now plus a duration from the store, the configuration or a peer's report) saturate. Published sets are bounded by their check and unaffected.

--- a/crates/core/src/direct/placement/mod.rs
+++ b/crates/core/src/direct/placement/mod.rs
@@ -279,7 +279,7 @@
         };
         let reserve =
             if self.mechanisms.has(Mechanism::SpeedQueue) { self.speeds.queue(target.id, reserve) } else { reserve };
-        self.open_requests.count(target.id) < target.spec.slots.max(1) + reserve
+        self.open_requests.count(target.id) < target.spec.slots.max(1).saturating_add(reserve)
     }
 
     /// Returns the factor of a target's speed on its cost for one flow, and the score that decides between equal costs.
--- a/crates/core/src/direct/store/directory/index.rs
+++ b/crates/core/src/direct/store/directory/index.rs
@@ -17,26 +17,40 @@
 pub struct Capacity {
     /// Number of targets.
     pub targets: usize,
-    /// Number of their slots; a target counts with at least one.
+    /// Number of their slots; a target counts with at least one. [`u32::MAX`] if there are more.
     pub slots: u32,
 }
 
-impl Capacity {
+/// Sum over targets, from which each of them can be subtracted again.
+///
+/// Other programs write entries with any number of slots. Their sum may exceed 32 bits, and a saturated sum would be
+/// wrong once some of these targets have left.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct CapacitySum {
+    targets: usize,
+    /// 64 bits hold the slots of 2^32 targets of any size.
+    slots: u64,
+}
+
+impl CapacitySum {
     pub(super) fn add(&mut self, target: &Target) {
         self.targets += 1;
-        self.slots += target.spec.slots.max(1);
+        self.slots += u64::from(target.spec.slots.max(1));
     }
 
-    pub(super) fn sum(parts: impl Iterator<Item = Self>) -> Self {
-        parts.fold(Self::default(), |sum, part| Self {
-            targets: sum.targets + part.targets,
-            slots: sum.slots + part.slots,
-        })
+    pub(super) fn add_sum(&mut self, other: Self) {
+        self.targets += other.targets;
+        self.slots += other.slots;
     }
 
+    /// Subtracts a target in the state in which it was added.
     fn remove(&mut self, target: &Target) {
         self.targets -= 1;
-        self.slots -= target.spec.slots.max(1);
+        self.slots -= u64::from(target.spec.slots.max(1));
+    }
+
+    pub(super) fn capacity(self) -> Capacity {
+        Capacity { targets: self.targets, slots: u32::try_from(self.slots).unwrap_or(u32::MAX) }
     }
 }
 
@@ -46,7 +60,7 @@
     /// All of them, in ascending order.
     pub(super) ids: Vec<TargetId>,
     /// Those whose entry is listed, including the rare ones whose cookie identifies another target.
-    pub(super) listed: Capacity,
+    pub(super) listed: CapacitySum,
 }
 
 /// The targets of a service by failure domain.
--- a/crates/core/src/direct/store/directory/mod.rs
+++ b/crates/core/src/direct/store/directory/mod.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 
 pub use self::index::Capacity;
+use self::index::CapacitySum;
 use self::index::DomainTargets;
 use self::index::TargetIndex;
 use crate::Timestamp;
@@ -210,17 +211,16 @@
     #[must_use]
     pub fn capacity(&self, now: Timestamp, service: &str, domain: Option<&str>) -> Capacity {
         let Some(domains) = self.index.service(service) else { return Capacity::default() };
-        let Some(domain) = domain else {
-            return Capacity::sum(
-                domains.iter().map(|(domain, targets)| self.domain_capacity(now, service, domain, targets)),
-            );
-        };
-        domains.get(domain).map_or(Capacity::default(), |targets| self.domain_capacity(now, service, domain, targets))
+        let mut sum = CapacitySum::default();
+        for (name, targets) in domains.iter().filter(|(name, _)| domain.is_none_or(|domain| domain == *name)) {
+            sum.add_sum(self.domain_capacity(now, service, name, targets));
+        }
+        sum.capacity()
     }
 
-    fn domain_capacity(&self, now: Timestamp, service: &str, domain: &str, targets: &DomainTargets) -> Capacity {
+    fn domain_capacity(&self, now: Timestamp, service: &str, domain: &str, targets: &DomainTargets) -> CapacitySum {
         if self.is_evacuated(domain) {
-            return Capacity::default();
+            return CapacitySum::default();
         }
         let mut capacity = targets.listed;
         let in_grace = self.missing.range((now.saturating_sub(EXPIRED_ENTRY_GRACE), TargetId::MIN)..);
@@ -335,7 +335,7 @@
         let entry_state = if spec.draining { EntryState::Draining } else { EntryState::Listed };
         // The entry was written before it is read, so counting its remaining slow start from now never ends it too
         // early.
-        let cold_until = if spec.cold_for.is_zero() { Timestamp::ZERO } else { now + spec.cold_for };
+        let cold_until = if spec.cold_for.is_zero() { Timestamp::ZERO } else { now.saturating_add(spec.cold_for) };
         let spec = spec.clone();
         self.replacements += u64::from(known.is_some() && same_start.is_none());
         self.set_target(Target { id, revision, spec, entry_state, cold_until, known_since });
@@ -405,7 +405,7 @@
             domain_targets.map(|target| (target.id, self.cold_time(target.id))).collect();
         for (id, cold_time) in domain_targets {
             if let Some(target) = self.targets.get_mut(&id) {
-                target.cold_until = target.cold_until.max(now + cold_time);
+                target.cold_until = target.cold_until.max(now.saturating_add(cold_time));
             }
         }
     }
--- a/crates/core/src/direct/targets/outlier.rs
+++ b/crates/core/src/direct/targets/outlier.rs
@@ -152,7 +152,7 @@
     pub fn mark_cold(&mut self, now: Timestamp, target: TargetId, cold_time: Duration) {
         let record = self.records.entry(target).or_default();
         record.clear(now);
-        record.cold_until = record.cold_until.max(now + cold_time);
+        record.cold_until = record.cold_until.max(now.saturating_add(cold_time));
         self.returning.insert(target);
     }
 
