Keep open flows at their targets when another target repeats its answer

Cause: a SYN goes to a second target when the first has not answered for 40 ms. The flow opens at one of them; the other repeats its answer for up to 9 s, and a caller's packets carry the cookie that it received last. Only the instance that saw the handshake has a record that overrules such a cookie. An instance that the flow moves to sends it to the other target, which resets it.

Ruled out: resets or SYNs of our own after the move (no such line for the flows), ids with one cookie, a change of the cookie on the way.

Change: an instance that sees the end of a handshake reports the flow's target to its group, if other targets may have received the SYN: several targets were tried, another one answered, or a copy of the SYN may have passed through another instance. Peers use it for packets of flows without a record, after their own records and before the cookie. It is repeated after 2 s, and at once when a packet with another cookie is seen, handed over to instances that start, kept for a minute, at most 32,768. Bindings have a 64-bit key and cover only sequence numbers behind the SYN's, so that no other flow is misdirected.

The same cause on related paths, found by the randomised test: the fabric moves a flow during its handshake, or the instance dies between the second SYN and the caller's answer. So an instance asks its group when it sends a SYN to another target, and whoever gets the flow's first packet reports it. A late copy of a SYN of an open flow goes to the flow's target, which would otherwise have gained a rival.

Not taken: retrying only at the first target (a dead one would cost another 40 ms), and a copy of the SYN with the new cookie to the first target (could open a flow there that it had not received).

Tests: flow_bindings.rs.

--- a/crates/core/src/direct/dispatcher/established.rs
+++ b/crates/core/src/direct/dispatcher/established.rs
@@ -37,18 +37,29 @@
     first: bool,
     /// Whether a target other than the recorded one completed the handshake.
     moved: bool,
+    /// Whether another instance may have received a copy of the SYN and sent it to a target of its own choice.
+    bypassed: bool,
+}
+
+impl Handshake {
+    /// Returns whether targets other than the one at which the flow is open may have received the SYN.
+    fn is_ambiguous(&self) -> bool {
+        !self.first || self.moved || self.bypassed
+    }
 }
 
 impl Dispatcher {
     /// Handles any packet but a SYN.
     ///
     /// During the handshake the cookie takes precedence over the recorded target, since a SYN may have been sent to
-    /// several targets; later the record takes precedence.
+    /// several targets; later the record takes precedence. A flow without a record goes to the target that a peer has
+    /// reported for it, if any, and by its cookie otherwise.
     pub(super) fn handle_established(&mut self, now: Timestamp, segment: &Segment, effects: &mut Vec<Effect>) {
-        let known = self.flows.get(&segment.flow).map(|flow| flow.target);
-        let answered_by = self.directory.by_cookie(segment.cookie).map(|target| target.id);
-        let in_handshake = self.flows.get(&segment.flow).is_some_and(|flow| matches!(flow.stage, Stage::Handshake(_)));
-        let target = if in_handshake { answered_by.or(known) } else { known.or(answered_by) };
+        let record = self.flows.get(&segment.flow);
+        let known = record.map(|flow| flow.target);
+        let is_open = record.is_some_and(|flow| !matches!(flow.stage, Stage::Handshake(_)));
+        let answered_by = self.target_by_cookie(segment.cookie);
+        let target = if is_open { known } else { self.bound_target(segment).or(answered_by).or(known) };
         let Some(target) = target else {
             self.pending.remove(segment.flow.flow_hash());
             self.record_decision(Decision::new(segment.flow, Outcome::DroppedUnknownCookie));
@@ -57,6 +68,7 @@
         if answered_by.is_some_and(|answered_by| answered_by != target) {
             let decision = Decision::new(segment.flow, Outcome::CookieOverruled);
             self.record_decision(Decision { target: Some(target), ..decision });
+            self.report_overruled(now, segment);
         }
         if known.is_some() {
             self.track_segment(now, segment, target, effects);
@@ -94,6 +106,9 @@
         // The start of the request may have passed through the other instance.
         let request = RequestStart::default();
         self.flows.insert(Flow { id, target, sequence, stage, first_seen, last_seen, objective, overdue, request });
+        if self.flow_bindings.take_request(now, id.hash64()) {
+            self.bind_flow(now, id);
+        }
         if is_request {
             self.expect_answer(now, target, effects);
             self.open_requests.start(now, flow_hash, target);
@@ -107,7 +122,7 @@
     }
 
     /// Returns whether a target's failure domain has been evacuated for at least the grace period.
-    fn is_evacuated(&self, now: Timestamp, target: TargetId) -> bool {
+    pub(super) fn is_evacuated(&self, now: Timestamp, target: TargetId) -> bool {
         let domain = self.directory.target(target).map(|target: &Target| target.spec.failure_domain.as_str());
         let since = domain.and_then(|domain| self.directory.evacuated_since(domain));
         since.is_some_and(|since| now.saturating_sub(since) >= self.config.evacuation_grace)
@@ -123,9 +138,10 @@
         let request_ack = match &flow.stage {
             Stage::Handshake(pending) => {
                 let (sent, first) = (pending.sent, pending.tried.is_empty());
+                let bypassed = pending.copies.may_have_bypassed(now);
                 let moved = std::mem::replace(&mut flow.target, target) != target;
                 flow.stage = Stage::AwaitingAnswer { request_ack: segment.acknowledged };
-                self.finish_handshake(now, segment.flow, target, Handshake { sent, first, moved });
+                self.finish_handshake(now, segment.flow, target, Handshake { sent, first, moved, bypassed });
                 segment.acknowledged
             }
             Stage::AwaitingAnswer { request_ack } => *request_ack,
@@ -167,8 +183,11 @@
     /// Records a completed handshake, which shows that the target and its failure domain are reachable. The duration
     /// is sampled only if the SYN was sent to no other target before.
     fn finish_handshake(&mut self, now: Timestamp, flow: FlowId, target: TargetId, handshake: Handshake) {
-        let Handshake { sent, first, moved } = handshake;
+        let Handshake { sent, first, moved, .. } = handshake;
         self.record_handshake(now, target);
+        if handshake.is_ambiguous() {
+            self.bind_flow(now, flow);
+        }
         if first {
             let took = now.saturating_sub(sent);
             self.handshake_timeout.sample(took);
@@ -315,6 +334,7 @@
         let Some(flow) = self.flows.get_mut(&id) else { return };
         let open = flow.clone();
         flow.stage = Stage::Closed;
+        self.flow_bindings.remove(id.hash64());
         if open.stage.awaits_answer() {
             self.record_unanswered(now, &open);
         }
--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -3,6 +3,7 @@
 //! [`Dispatcher::handle_packet`] takes a packet's header and the current time and appends [`Effect`]s for the caller
 //! of the function to execute. [`Dispatcher::tick`] runs the timers. The module opens no socket and reads no clock.
 
+mod binding;
 mod established;
 mod quotas;
 mod reporting;
@@ -22,6 +23,7 @@
 use crate::direct::decision::Decision;
 use crate::direct::decision::Outcome;
 use crate::direct::decision::OutcomeCounts;
+use crate::direct::flow_bindings::FlowBindings;
 use crate::direct::flows::FlowRecords;
 use crate::direct::lifecycle::readiness::Readiness;
 use crate::direct::lifecycle::readiness::ReadinessInputs;
@@ -152,6 +154,7 @@
     answer_times: AnswerTimes,
     unready_limit: UnreadyLimit,
     flows: FlowRecords,
+    flow_bindings: FlowBindings,
     pending: PendingQueue,
     handshake_timeout: HandshakeTimeout,
     slow_start: SlowStart,
@@ -223,6 +226,7 @@
             answer_times: AnswerTimes::default(),
             unready_limit: UnreadyLimit::default(),
             flows: FlowRecords::default(),
+            flow_bindings: FlowBindings::default(),
             pending: PendingQueue::default(),
             handshake_timeout: HandshakeTimeout::default(),
             slow_start: SlowStart::default(),
@@ -490,7 +494,8 @@
             return Handover { delta, ..Handover::default() };
         }
         let (open_requests, avoid) = (self.open_requests.open(now).collect(), self.outliers.avoided(now).collect());
-        Handover { delta, open_requests, avoid, members: Vec::new() }
+        let flow_bindings = self.flow_bindings.handover(now).collect();
+        Handover { delta, open_requests, avoid, members: Vec::new(), flow_bindings }
     }
 
     /// Applies a state transfer from a peer. Returns whether its delta changed the directory.
@@ -503,7 +508,11 @@
         for (target, avoidance) in &handover.avoid {
             self.outliers.apply_suspicion(now, *target, *avoidance);
         }
-        self.apply_delta(now, &handover.delta, effects)
+        let changed = self.apply_delta(now, &handover.delta, effects);
+        for (binding, remaining) in &handover.flow_bindings {
+            self.learn_binding(now, *binding, *remaining);
+        }
+        changed
     }
 
     /// Handles a packet of a caller, and appends the effects.
--- a/crates/core/src/direct/dispatcher/reporting.rs
+++ b/crates/core/src/direct/dispatcher/reporting.rs
@@ -31,6 +31,7 @@
             self.apply_answered_request(now, *answered);
         }
         for flow in &report.abandoned {
+            self.handshake_moved(*flow, None);
             self.flows.answered_at_peer(*flow);
             self.open_requests.abandon(*flow);
         }
@@ -127,7 +128,7 @@
     /// Applies a peer's open request: the flow passes through that peer now, and its request counts for the target.
     /// On a cold target it also counts against the slow-start budget.
     fn apply_open_request(&mut self, now: Timestamp, open: OpenRequest) {
-        self.flows.moved_to_peer(open.flow);
+        self.handshake_moved(open.flow, Some(open.target));
         self.pending.remove(open.flow);
         let Some(target) = self.directory.by_cookie(open.target) else { return };
         self.open_requests.record_reported(now, open.flow, target.id, Duration::from_millis(u64::from(open.age_ms)));
@@ -138,6 +139,7 @@
 
     /// Applies a peer's answered request, with the answers of the same target that the peer had not reported.
     fn apply_answered_request(&mut self, now: Timestamp, answered: AnsweredRequest) {
+        self.handshake_moved(answered.flow, None);
         self.flows.answered_at_peer(answered.flow);
         if let Some(ended) = self.open_requests.record_reported_end(now, answered.flow, answered.unreported) {
             self.outliers.record_liveness(now, ended.target);
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -74,7 +74,8 @@
             self.reject_while_behind(now, syn, route, effects);
             return;
         }
-        if self.retransmit_recorded(now, segment, effects) {
+        if self.retransmit_recorded(now, segment, retransmissions, effects) || self.forward_bound(now, segment, effects)
+        {
             return;
         }
         if self.pending.record_retransmission(now, segment, retransmissions) {
@@ -125,14 +126,23 @@
     }
 
     /// Handles a retransmission of a recorded SYN. Returns whether the SYN is recorded.
-    fn retransmit_recorded(&mut self, now: Timestamp, segment: &Segment, effects: &mut Vec<Effect>) -> bool {
+    fn retransmit_recorded(
+        &mut self,
+        now: Timestamp,
+        segment: &Segment,
+        retransmissions: u32,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
         let Some(flow) = self.flows.get_mut(&segment.flow).filter(|flow| flow.sequence == segment.sequence) else {
             return false;
         };
         flow.last_seen = now;
         let target = flow.target;
-        let overdue = matches!(&flow.stage, Stage::Handshake(handshake)
-            if now.saturating_sub(handshake.sent) >= self.handshake_timeout.limit());
+        let mut overdue = false;
+        if let Stage::Handshake(handshake) = &mut flow.stage {
+            handshake.copies.record(now, retransmissions);
+            overdue = now.saturating_sub(handshake.sent) >= self.handshake_timeout.limit();
+        }
         if overdue && self.retry_handshake(now, segment.flow, effects) {
             return true;
         }
@@ -145,6 +155,17 @@
         true
     }
 
+    /// Forwards a copy of a SYN whose flow is known to be open to its target, which answers it again. Another target would
+    /// answer it, too, and change the caller's cookie. Returns whether the flow is open.
+    fn forward_bound(&mut self, now: Timestamp, segment: &Segment, effects: &mut Vec<Effect>) -> bool {
+        let bound = self.flow_bindings.target_of_syn(segment).and_then(|cookie| self.target_by_cookie(cookie));
+        let Some(target) = bound else { return false };
+        if !self.is_evacuated(now, target) {
+            self.forward(target, segment.cookie, Packet::Current, effects);
+        }
+        true
+    }
+
     /// Rejects a SYN while the directory is behind. A copy of a recorded SYN is dropped: its target may be draining, and
     /// the flow may be open there.
     fn reject_while_behind(&mut self, now: Timestamp, syn: &Syn<'_>, route: &Route, effects: &mut Vec<Effect>) {
@@ -319,7 +340,7 @@
         effects: &mut Vec<Effect>,
     ) {
         self.guaranteed_count += u64::from(self.standing(now, &pending) == Standing::Guaranteed);
-        let PendingFlow { segment, packet, received_at, tried, .. } = pending;
+        let PendingFlow { segment, packet, received_at, tried, copies, .. } = pending;
         let retransmissions = if let SegmentKind::Syn { retransmissions } = segment.kind { retransmissions } else { 0 };
         let objective = self.directory.route(segment.flow.service).map_or(Duration::MAX, |r| r.latency_objective);
         let took = now.saturating_sub(received_at);
@@ -336,7 +357,7 @@
         }
         self.checks.sent(now, target);
         self.forward(target, segment.cookie, Packet::Buffered(packet.clone()), effects);
-        let stage = Stage::Handshake(PendingHandshake { sent: now, packet, tried });
+        let stage = Stage::Handshake(PendingHandshake { sent: now, packet, tried, copies });
         let (id, sequence) = (segment.flow, segment.sequence);
         let (first_seen, last_seen, overdue) = (received_at, now, false);
         let request = RequestStart { sent: None, open: self.open_requests.count(target) };
@@ -401,10 +422,13 @@
             PendingFlow::new(segment, &handshake.packet, flow.first_seen, 0, flow.objective, Duration::MAX);
         pending.service = service;
         pending.tried = tried;
+        pending.copies = handshake.copies;
         pending.heavy = self.fair_shares.class_of(id.service, *id.caller.ip()).heavy;
         // The flow is not reset if every other target is full, since the first one may still answer.
         let Choice::Target(next) = self.choose(now, &pending, Limit::Queue) else { return false };
         self.place(now, pending, next, Outcome::PlacedAgain, effects);
+        // The caller's answer may pass through another instance, or this one may die before it arrives.
+        self.flow_bindings.request(id.hash64());
         true
     }
 
--- a/crates/core/src/direct/dispatcher/timers.rs
+++ b/crates/core/src/direct/dispatcher/timers.rs
@@ -63,6 +63,7 @@
             self.check_targets(now, effects);
         }
         self.open_requests.expire(now);
+        self.flow_bindings.expire(now);
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_PERIOD;
             self.expire_findings(now);
@@ -214,7 +215,7 @@
     /// Returns the time of the next timer, at which [`Dispatcher::tick`] is to be called.
     #[must_use]
     pub fn next_due(&self) -> Timestamp {
-        let dues = [self.flows.next_due(), self.pending.next_due()];
+        let dues = [self.flows.next_due(), self.pending.next_due(), self.flow_bindings.next_due()];
         dues.into_iter().flatten().fold(self.review_due(), Timestamp::min)
     }
 
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -27,6 +27,7 @@
 use self::view_sync::MAX_VIEW_PARTS;
 use self::view_sync::ViewSync;
 use crate::Timestamp;
+use crate::direct::flow_bindings::FlowBindingReport;
 use crate::direct::lifecycle::bootstrap::Discovery;
 use crate::direct::lifecycle::readiness::REMOTE_SILENCE_LIMIT;
 use crate::direct::reports::answer_time_report::AnswerTimeReport;
@@ -112,6 +113,8 @@
     ApplyAnswerTimes(AnswerTimeReport),
     /// Apply a capacity report.
     ApplyCapacityReport(CapacityReport),
+    /// Apply a report of flow bindings.
+    ApplyFlowBindings(FlowBindingReport),
     /// The set of serving instances changed.
     Changed,
 }
@@ -373,6 +376,7 @@
             Frame::LoadReport(report) => return vec![FleetEffect::ApplyLoadReport(report)],
             Frame::AnswerTimes(report) => return vec![FleetEffect::ApplyAnswerTimes(report)],
             Frame::Capacity(report) => return vec![FleetEffect::ApplyCapacityReport(report)],
+            Frame::FlowBindings(report) => return vec![FleetEffect::ApplyFlowBindings(report)],
             Frame::WithSender { sender, message } => (sender, message),
         };
         if sender.id == self.membership.me().id {
--- a/crates/core/src/direct/flows.rs
+++ b/crates/core/src/direct/flows.rs
@@ -10,6 +10,9 @@
 use crate::Timestamp;
 use crate::direct::segment::FlowHash;
 use crate::direct::segment::FlowId;
+use crate::direct::segment::FlowKey;
+use crate::direct::segment::flow_hash_of;
+use crate::direct::syn_copies::SynCopies;
 use crate::maps::FixedHashMap;
 use hawthornshift_model::TargetId;
 
@@ -63,6 +66,8 @@
     pub packet: Box<[u8]>,
     /// Targets that the SYN was sent to before.
     pub tried: Vec<TargetId>,
+    /// Copies of the SYN that this instance has received.
+    pub copies: SynCopies,
 }
 
 /// Record of one flow.
@@ -133,6 +138,13 @@
         self.flows.get_mut(&id.flow_hash()).filter(|flow| flow.id == *id)
     }
 
+    /// Returns the record of a flow whose handshake has ended.
+    #[must_use]
+    pub fn opened(&self, key: FlowKey) -> Option<&Flow> {
+        let flow = self.flows.get(&flow_hash_of(key)).filter(|flow| flow.id.hash64() == key);
+        flow.filter(|flow| !matches!(flow.stage, Stage::Handshake(_)))
+    }
+
     /// Inserts a record, replacing any other with the same flow hash.
     pub fn insert(&mut self, flow: Flow) {
         self.flows.insert(flow.id.flow_hash(), flow);
@@ -149,19 +161,24 @@
         self.flows.remove(&id.flow_hash())
     }
 
-    /// Removes a flow in the handshake state whose packets now pass through another instance.
+    /// Removes a flow in the handshake state whose packets now pass through another instance, and returns its record.
     ///
     /// Otherwise its handshake would time out here and its SYN would be sent to a second target, whose answer would
     /// divert the rest of the flow to the wrong target.
-    pub fn moved_to_peer(&mut self, flow: FlowHash) {
-        if self.flows.get(&flow).is_some_and(|flow| matches!(flow.stage, Stage::Handshake(_))) {
-            self.flows.remove(&flow);
+    pub fn moved_to_peer(&mut self, flow: FlowHash) -> Option<Flow> {
+        self.flows.get(&flow).filter(|flow| matches!(flow.stage, Stage::Handshake(_)))?;
+        self.flows.remove(&flow)
+    }
+
+    /// Sets the target of a flow to the one at which a peer has observed it to be open.
+    pub fn rebind(&mut self, key: FlowKey, target: TargetId) {
+        if let Some(flow) = self.flows.get_mut(&flow_hash_of(key)).filter(|flow| flow.id.hash64() == key) {
+            flow.target = target;
         }
     }
 
     /// Records that another instance has observed the answer of a flow.
     pub fn answered_at_peer(&mut self, flow: FlowHash) {
-        self.moved_to_peer(flow);
         if let Some(flow) = self.flows.get_mut(&flow).filter(|flow| flow.stage.awaits_answer()) {
             flow.stage = Stage::Answered(None);
         }
--- a/crates/core/src/direct/limits/pending.rs
+++ b/crates/core/src/direct/limits/pending.rs
@@ -15,6 +15,7 @@
 use crate::direct::limits::fair_share::FlowClass;
 use crate::direct::segment::FlowHash;
 use crate::direct::segment::Segment;
+use crate::direct::syn_copies::SynCopies;
 use hawthornshift_model::TargetId;
 
 /// Divisor of the latency objective that gives the time that a flow may spend in the queue. The rest is for the
@@ -25,8 +26,6 @@
 /// Time since a caller's first SYN, by the number of retransmissions sent so far. Callers retransmit a SYN 200 ms and
 /// 600 ms after the first.
 const AGES_BY_RETRANSMISSIONS: [Duration; 3] = [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(600)];
-/// Time until the next retransmission, by the number of retransmissions sent so far. There is none after the last.
-const RETRANSMISSION_INTERVALS: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(400)];
 /// Time before the next retransmission in which a flow is no longer reset, because packets may take longer to one
 /// instance than to another.
 const RESET_MARGIN: Duration = Duration::from_millis(10);
@@ -40,12 +39,8 @@
     pub packet: Box<[u8]>,
     /// When the SYN was received.
     pub received_at: Timestamp,
-    /// When the SYN or its latest retransmission was received.
-    last_received: Timestamp,
-    /// Number of retransmissions that the caller had sent by then.
-    retransmissions: u32,
-    /// Number of retransmissions that this instance has received since the SYN was queued.
-    retransmissions_received: u32,
+    /// Copies of the SYN that this instance has received.
+    pub copies: SynCopies,
     /// Time until which the flow can still be answered within its latency objective.
     pub in_time_until: Timestamp,
     /// Earlier of the end of the caller's attempt and the timeout of the route.
@@ -78,9 +73,7 @@
             segment,
             packet: packet.into(),
             received_at,
-            last_received: received_at,
-            retransmissions,
-            retransmissions_received: 0,
+            copies: SynCopies::new(received_at, retransmissions),
             in_time_until: received_at + objective.saturating_sub(age) / OBJECTIVE_DIVISOR,
             deadline: received_at + timeout.min(ATTEMPT_DURATION).saturating_sub(age),
             priority: u8::MAX,
@@ -109,11 +102,7 @@
     /// to the caller that its request was not run.
     #[must_use]
     pub fn may_be_reset(&self, now: Timestamp) -> bool {
-        let next = usize::try_from(self.retransmissions)
-            .ok()
-            .and_then(|retransmissions| RETRANSMISSION_INTERVALS.get(retransmissions));
-        self.retransmissions_received == self.retransmissions
-            && next.is_none_or(|next| now + RESET_MARGIN < self.last_received + *next)
+        !self.copies.may_have_bypassed(now + RESET_MARGIN)
     }
 
     /// Returns the sort key of a flow: the highest priority first, then the newest. Under overload the oldest flows
@@ -176,9 +165,7 @@
         let mut all = self.in_time.iter_mut().chain(&mut self.late);
         let pending = all.find(|pending| pending.segment.flow == segment.flow);
         let Some(pending) = pending else { return false };
-        pending.last_received = now;
-        pending.retransmissions = retransmissions;
-        pending.retransmissions_received += 1;
+        pending.copies.record(now, retransmissions);
         true
     }
 
--- a/crates/core/src/direct/reports/message.rs
+++ b/crates/core/src/direct/reports/message.rs
@@ -9,6 +9,8 @@
 use strum::EnumIter;
 use strum::IntoStaticStr;
 
+use crate::direct::flow_bindings::FlowBinding;
+use crate::direct::flow_bindings::FlowBindingReport;
 use crate::direct::reports::answer_time_report::AnswerTimeReport;
 use crate::direct::reports::capacity_report::CapacityReport;
 use crate::direct::reports::load_report::LoadReport;
@@ -42,6 +44,8 @@
     /// A capacity report. New kinds of messages follow as last variants, so that the encoding of the others is unchanged;
     /// instances of earlier versions count them as malformed.
     Capacity(CapacityReport),
+    /// Targets at which flows are open whose cookies may identify another one.
+    FlowBindings(FlowBindingReport),
 }
 
 /// Category of a datagram, as used in metrics.
@@ -61,6 +65,8 @@
     AnswerTimes,
     /// Capacity reports.
     Capacity,
+    /// Flow bindings.
+    FlowBindings,
 }
 
 impl Frame {
@@ -71,6 +77,7 @@
             Self::LoadReport(_) => FrameKind::LoadReport,
             Self::AnswerTimes(_) => FrameKind::AnswerTimes,
             Self::Capacity(_) => FrameKind::Capacity,
+            Self::FlowBindings(_) => FrameKind::FlowBindings,
             Self::WithSender { message, .. } => match message {
                 Message::Ping(_) | Message::Ack(_) | Message::IndirectPing { .. } | Message::IndirectAck { .. } => {
                     FrameKind::Heartbeat
@@ -171,4 +178,9 @@
     pub avoid: Vec<(TargetId, Duration)>,
     /// The other instances.
     pub members: Vec<MemberUpdate>,
+    /// Targets of open flows whose cookies may identify another one, with the remaining time to keep each.
+    ///
+    /// Encoded behind the other fields, which instances of earlier versions read alone.
+    #[serde(skip)]
+    pub flow_bindings: Vec<(FlowBinding, Duration)>,
 }
--- a/crates/core/src/direct/segment.rs
+++ b/crates/core/src/direct/segment.rs
@@ -10,6 +10,9 @@
 /// identifies the target; zero means none.
 pub type Cookie = u32;
 
+/// 64-bit hash that identifies a flow where a confusion with another one would misdirect its packets.
+pub type FlowKey = u64;
+
 /// 32-bit hash that identifies a flow in messages between instances.
 ///
 /// If two open flows have the same hash, one of them is not counted while it is open. With 5,000 open flows in a
@@ -32,7 +35,7 @@
 impl FlowId {
     /// Returns the flow's 64-bit hash, which is equal on all instances.
     #[must_use]
-    pub fn hash64(&self) -> u64 {
+    pub fn hash64(&self) -> FlowKey {
         let mut buf = [0_u8; FLOW_BYTES];
         buf[..4].copy_from_slice(&self.caller.ip().octets());
         buf[4..8].copy_from_slice(&self.service.ip().octets());
@@ -44,10 +47,16 @@
     /// Returns the upper 32 bits of [`FlowId::hash64`].
     #[must_use]
     pub fn flow_hash(&self) -> FlowHash {
-        u32::try_from(self.hash64() >> 32).unwrap_or(FlowHash::MAX)
+        flow_hash_of(self.hash64())
     }
 }
 
+/// Returns the flow hash of a flow: the upper 32 bits of its key.
+#[must_use]
+pub fn flow_hash_of(flow: FlowKey) -> FlowHash {
+    u32::try_from(flow >> 32).unwrap_or(FlowHash::MAX)
+}
+
 /// Kind of a packet, in the terms of TCP.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SegmentKind {
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -91,6 +91,12 @@
 /// Payload of a message between instances, in bytes: a load report with two entries, or a heartbeat.
 const PEER_MESSAGE_BYTES: usize = 32;
 
+/// Interval after which a target repeats an answer to a SYN; it doubles up to the maximum.
+const FIRST_REPEAT_INTERVAL: Duration = Duration::from_millis(200);
+const MAX_REPEAT_INTERVAL: Duration = Duration::from_millis(1_600);
+/// Number of times that a target repeats an answer after the first repetition.
+const MAX_REPEATS: u32 = 7;
+
 /// Sequence number of every SYN and of every small request.
 const SEQUENCE: u32 = 7;
 
@@ -196,6 +202,15 @@
     Refuse,
 }
 
+/// Where an instance that starts gets its state from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartFrom {
+    /// The store, and then a peer.
+    Store,
+    /// A peer if one has the state, and the store otherwise.
+    Peers,
+}
+
 #[derive(Debug)]
 pub struct SimTarget {
     pub alive: bool,
@@ -270,6 +285,8 @@
     ArriveAtInstance(usize, Segment),
     ArriveAtTarget(TargetId, Segment),
     SynAnswered(usize, FlowId, TargetId),
+    /// A target repeats its answer to a SYN after the given interval, unless the flow has been opened there.
+    RepeatSynAnswer(FlowId, TargetId, Duration, u32),
     RequestFinished(TargetId, QueuedRequest),
     Answered(usize, FlowId),
     Failed(usize, FlowId),
@@ -354,6 +371,12 @@
     pub safe_requests: bool,
     /// What a target with a full queue does.
     pub when_full: WhenFull,
+    /// Share of the first answers to SYNs that are lost. Targets repeat them until the flow is open or they give up.
+    pub answer_loss: f64,
+    /// Where an instance that starts gets its state from.
+    pub start_from: StartFrom,
+    /// Packets with data that reached a target other than the one at which their flow is open.
+    pub misdirected_packets: usize,
     /// The route's latency objective, and the time after which a caller abandons a request.
     objective: Duration,
     timeout: Duration,
@@ -367,6 +390,8 @@
     /// Consecutive failed readiness probes of each instance; `None` while the fabric does not probe and callers reach
     /// every running instance.
     probes_missed: Option<Vec<u32>>,
+    /// An instance that is about to stop and reports that it is not ready.
+    stopping: Option<usize>,
     /// All packets sent. The index of a packet stands for its bytes.
     segments: Vec<Segment>,
     current_packet: Box<[u8]>,
@@ -406,12 +431,16 @@
             updates_lost_at: Vec::new(),
             safe_requests: false,
             when_full: WhenFull::Silent,
+            answer_loss: 0.0,
+            start_from: StartFrom::Store,
+            misdirected_packets: 0,
             objective: LATENCY_OBJECTIVE,
             timeout: REQUEST_TIMEOUT,
             idle_flows: Vec::new(),
             check_count: 0,
             mechanisms: Mechanisms::default(),
             probes_missed: None,
+            stopping: None,
             segments: Vec::new(),
             current_packet: Box::new([]),
             decisions_by_flow: BTreeMap::new(),
@@ -523,6 +552,20 @@
         self.instances[index] = None;
     }
 
+    /// Stops and restarts instances one after the other, each as planned: it reports that it is not ready, runs on until the
+    /// fabric sends it no packets any more, and ends.
+    pub fn rolling_stop(&mut self, from: Timestamp, gap: Duration, instances: usize) {
+        for index in 0..instances {
+            let at = from + gap * u32::try_from(index).unwrap();
+            self.run_until(at);
+            self.stopping = Some(index);
+            self.run_until(at + PROBE_PERIOD * 2);
+            self.stopping = None;
+            self.kill(index);
+            self.start_at(self.now + RESTART_DELAY, index);
+        }
+    }
+
     /// Kills and restarts instances one after the other, `gap` apart, so that each has been running again for a while
     /// before the next is killed.
     pub fn rolling_restart(&mut self, from: Timestamp, gap: Duration, instances: usize) {
@@ -586,7 +629,10 @@
                 instance.dispatcher.readiness(now, others) == Readiness::Ready
             })
         };
-        let answers: Vec<bool> = self.instances.iter_mut().map(ready).collect();
+        let mut answers: Vec<bool> = self.instances.iter_mut().map(ready).collect();
+        if let Some(stopping) = self.stopping {
+            answers[stopping] = false;
+        }
         let Some(missed) = &mut self.probes_missed else { return };
         for (missed, ready) in missed.iter_mut().zip(answers) {
             *missed = if ready { 0 } else { *missed + 1 };
@@ -673,6 +719,7 @@
         let overload = overload.map(|report| (instance.fleet.other_domains(), report));
         let decisions = instance.dispatcher.take_decisions();
         let answer_times = instance.dispatcher.take_answer_times(now);
+        let bindings = instance.dispatcher.take_flow_bindings(now);
         let group = instance.group.clone();
         self.second_target_syns +=
             decisions.iter().filter(|decision| decision.outcome == Outcome::PlacedAgain).count() as u64;
@@ -683,6 +730,9 @@
             self.report_count += group.len();
             self.send(index, &group, &Frame::LoadReport(report));
         }
+        if !bindings.is_empty() {
+            self.send(index, &group, &Frame::FlowBindings(bindings));
+        }
         if let Some(report) = answer_times {
             self.send(index, &group, &Frame::AnswerTimes(report));
         }
@@ -770,6 +820,9 @@
                 FleetEffect::ApplyCapacityReport(report) => {
                     self.with(index, |instance, now, _| instance.dispatcher.apply_capacity_report(now, &report));
                 }
+                FleetEffect::ApplyFlowBindings(report) => {
+                    self.with(index, |instance, now, _| instance.dispatcher.apply_flow_bindings(now, &report));
+                }
                 FleetEffect::Changed => {
                     self.with(index, |instance, now, _| {
                         instance.group = instance.fleet.group();
@@ -795,9 +848,7 @@
         match event {
             Event::Start(index) => self.start(index),
             Event::ReadStore(index, incarnation) if self.is_current_run(index, incarnation) => {
-                let content = self.store_content.clone();
-                self.with(index, |instance, now, effects| instance.dispatcher.apply_delta(now, &content, effects));
-                self.pull_from_peer(index, incarnation);
+                self.read_state(index, incarnation);
             }
             Event::Tick(index, incarnation) if self.is_current_run(index, incarnation) => self.tick(index, incarnation),
             Event::PeerFrame(index, incarnation, frame) if self.is_current_run(index, incarnation) => {
@@ -834,6 +885,9 @@
             Event::ArriveAtInstance(index, segment) => self.arrive_at_instance(index, segment),
             Event::ArriveAtTarget(target, segment) => self.arrive_at_target(target, segment),
             Event::SynAnswered(request, flow, target) => self.syn_answered(request, flow, target),
+            Event::RepeatSynAnswer(flow, target, interval, left) => {
+                self.repeat_syn_answer(flow, target, interval, left);
+            }
             Event::RequestFinished(target, queued) => self.request_finished(target, &queued),
             Event::Answered(request, flow) => self.answered(request, flow),
             Event::Failed(request, flow) => self.failed(request, flow),
@@ -847,6 +901,18 @@
         }
     }
 
+    /// Gives an instance that starts its state.
+    fn read_state(&mut self, index: usize, incarnation: u64) {
+        let mut running = self.instances.iter().flatten();
+        let is_anyone_synced = running.any(|instance| instance.dispatcher.directory().is_synced());
+        if self.start_from == StartFrom::Peers && is_anyone_synced && self.pull_from_peer(index, incarnation) {
+            return;
+        }
+        let content = self.store_content.clone();
+        self.with(index, |instance, now, effects| instance.dispatcher.apply_delta(now, &content, effects));
+        self.pull_from_peer(index, incarnation);
+    }
+
     /// Pulls the changes since the revision of an instance from a peer.
     fn pull_news(&mut self, index: usize, from: SocketAddr) {
         let Some((incarnation, since)) = self.instances[index]
@@ -863,8 +929,8 @@
         }
     }
 
-    /// Pulls a handover from a reachable peer, as an exchange over the network would.
-    fn pull_from_peer(&mut self, index: usize, incarnation: u64) {
+    /// Pulls a handover from a reachable peer, as an exchange over the network would. Returns whether there is one.
+    fn pull_from_peer(&mut self, index: usize, incarnation: u64) -> bool {
         let now = self.now;
         let known: Vec<SocketAddr> = self.instances[index].as_ref().map(|i| i.fleet.group()).unwrap_or_default();
         let peer = (0..self.instances.len()).find(|peer| {
@@ -873,9 +939,9 @@
                 && self.instances[*peer].is_some()
         });
         let handover = peer.and_then(|peer| self.instances[peer].as_ref()).map(|peer| peer.dispatcher.handover(now, 0));
-        if let Some(handover) = handover {
-            self.schedule_after(ms(4), Event::HandoverReceived(index, incarnation, Box::new(handover)));
-        }
+        let Some(handover) = handover else { return false };
+        self.schedule_after(ms(4), Event::HandoverReceived(index, incarnation, Box::new(handover)));
+        true
     }
 
     fn tick(&mut self, index: usize, incarnation: u64) {
@@ -1169,6 +1235,14 @@
         let request = self.request_by_flow[&segment.flow];
         let now = self.now;
         let is_data = segment.kind == SegmentKind::Ack && segment.payload_bytes > 0;
+        let Request { flow, established, .. } = self.requests[request];
+        let is_foreign = flow == segment.flow && established.is_some_and(|(target, _)| target != id);
+        if self.answer_loss > 0.0 && is_data && is_foreign {
+            let is_open =
+                |(target, _): (TargetId, Cookie)| matches!(self.targets[&target].flows.get(&flow), Some(Some(_)));
+            self.misdirected_packets += usize::from(established.is_some_and(is_open));
+            return;
+        }
         if is_data && self.targets[&id].alive && !self.receive_data(request, &segment) {
             return;
         }
@@ -1176,7 +1250,15 @@
         match segment.kind {
             SegmentKind::Syn { .. } => {
                 target.syn_times.push(now);
+                let is_new = !target.flows.contains_key(&segment.flow);
                 target.flows.entry(segment.flow).or_insert(None);
+                if is_new && self.answer_loss > 0.0 {
+                    let repeat = Event::RepeatSynAnswer(segment.flow, id, FIRST_REPEAT_INTERVAL, MAX_REPEATS);
+                    self.schedule_after(FIRST_REPEAT_INTERVAL, repeat);
+                    if self.rng.random_bool(self.answer_loss) {
+                        return;
+                    }
+                }
                 self.schedule_after(CALLER_DELAY, Event::SynAnswered(request, segment.flow, id));
             }
             SegmentKind::Ack if segment.payload_bytes > 0 => {
@@ -1227,13 +1309,33 @@
             return;
         }
         let state = &mut self.requests[request];
-        if state.established.is_some() {
+        if let Some((_, last_cookie)) = &mut state.established {
+            if self.answer_loss > 0.0 {
+                *last_cookie = cookie(target);
+            }
             return;
         }
         state.established = Some((target, cookie(target)));
         self.schedule_data(request, attempt);
     }
 
+    /// Sends a target's answer to a SYN again, which replaces the cookie that the caller repeats.
+    fn repeat_syn_answer(&mut self, flow: FlowId, target: TargetId, interval: Duration, left: u32) {
+        let request = self.request_by_flow[&flow];
+        let is_open_here = self.requests[request].established.is_some_and(|(open_at, _)| open_at == target);
+        if is_open_here || !self.targets[&target].alive {
+            return;
+        }
+        for idle in self.idle_flows.iter_mut().flatten().filter(|idle| idle.flow == flow) {
+            idle.established.1 = cookie(target);
+        }
+        self.schedule_after(CALLER_DELAY, Event::SynAnswered(request, flow, target));
+        if left > 0 {
+            let next = (interval * 2).min(MAX_REPEAT_INTERVAL);
+            self.schedule_after(next, Event::RepeatSynAnswer(flow, target, next, left - 1));
+        }
+    }
+
     fn request_finished(&mut self, id: TargetId, queued: &QueuedRequest) {
         let Some(target) = self.targets.get_mut(&id) else { return };
         target.running -= 1;
@@ -1250,7 +1352,10 @@
             return;
         }
         state.answered_at = Some(now);
-        let established = state.established.unwrap();
+        let (target, _) = state.established.unwrap();
+        // The answer carries the cookie of the target at which the flow is open.
+        let established = (target, cookie(target));
+        state.established = Some(established);
         let received_bytes = state.received_bytes + ANSWER_BYTES;
         let persistent_caller = state.persistent_caller;
         self.send_to_instance(request, SegmentKind::Ack, received_bytes, 0, established.1);
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -8,6 +8,7 @@
 mod domain_loss;
 mod fair_share;
 mod fleet;
+mod flow_bindings;
 mod foreign_entries;
 mod hanging;
 mod link_budget;
--- a/crates/direct/src/dump.rs
+++ b/crates/direct/src/dump.rs
@@ -72,6 +72,8 @@
     behind_ms: u128,
     flows: usize,
     waiting: usize,
+    /// Flows whose target is known although their cookies may identify another one.
+    flow_bindings: usize,
     link: Option<LinkStatus>,
     /// Services whose routes or callers compete, while flows wait or a limit is in force.
     shares: BTreeMap<&'a str, ServiceUse>,
@@ -128,6 +130,7 @@
         news_age_ms: fleet.watcher_role().age(now).as_millis(),
         flows,
         waiting,
+        flow_bindings: dispatcher.flow_bindings().len(),
         link: dispatcher.link_status(now),
         shares: dispatcher.shared_services(now).into_iter().collect(),
         slot_quotas: dispatcher.slot_quotas().in_force().collect(),
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -47,6 +47,7 @@
     gauge!("hawthornshift_instances_serving").set(gauge_value(sources.fleet.serving().len()));
     gauge!("hawthornshift_flows_recorded").set(gauge_value(flows));
     gauge!("hawthornshift_flows_waiting").set(gauge_value(waiting));
+    gauge!("hawthornshift_flow_bindings").set(gauge_value(sources.dispatcher.flow_bindings().len()));
     gauge!("hawthornshift_work_open").set(gauge_value(sources.dispatcher.open_requests().total()));
     gauge!("hawthornshift_targets_avoided").set(gauge_value(sources.dispatcher.outliers().avoided(now).count()));
     gauge!("hawthornshift_targets_unreachable").set(gauge_value(sources.dispatcher.unreachable_count(now)));
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -175,7 +175,9 @@
 ///
 /// Returns an error if the handover cannot be encoded.
 pub fn encode_handover(handover: &Handover) -> Result<Vec<u8>, postcard::Error> {
-    Ok(lz4_flex::compress_prepend_size(&postcard::to_stdvec(handover)?))
+    let encoded = postcard::to_extend(handover, Vec::new())?;
+    let encoded = postcard::to_extend(&handover.flow_bindings, encoded)?;
+    Ok(lz4_flex::compress_prepend_size(&encoded))
 }
 
 /// Decodes the output of [`encode_handover`].
@@ -189,5 +191,9 @@
     if size > MAX_HANDOVER_BYTES {
         return Err(HandoverError::TooLarge);
     }
-    Ok(postcard::from_bytes(&lz4_flex::decompress_size_prepended(compressed)?)?)
+    let decompressed = lz4_flex::decompress_size_prepended(compressed)?;
+    let (handover, rest) = postcard::take_from_bytes::<Handover>(&decompressed)?;
+    // Instances of earlier versions send no bindings.
+    let flow_bindings = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+    Ok(Handover { flow_bindings, ..handover })
 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -306,6 +306,7 @@
                 }
                 FleetEffect::ApplyAnswerTimes(report) => self.dispatcher.apply_answer_times(now, &report),
                 FleetEffect::ApplyCapacityReport(report) => self.dispatcher.apply_capacity_report(now, &report),
+                FleetEffect::ApplyFlowBindings(report) => self.dispatcher.apply_flow_bindings(now, &report),
                 FleetEffect::Changed => self.fleet_changed(),
             }
         }
@@ -451,6 +452,10 @@
                 self.peers.send(&self.group_addresses, &Frame::LoadReport(part));
             }
         }
+        let bindings = self.dispatcher.take_flow_bindings(now);
+        if !bindings.is_empty() {
+            self.peers.send(&self.group_addresses, &Frame::FlowBindings(bindings));
+        }
         if let Some(report) = self.dispatcher.take_answer_times(now) {
             self.peers.send(&self.group_addresses, &Frame::AnswerTimes(report));
         }
--- a/crates/direct/tests/handovers.rs
+++ b/crates/direct/tests/handovers.rs
@@ -1,9 +1,12 @@
 //! Encoding and decoding of handovers.
 
+use std::time::Duration;
+
 use proptest::arbitrary::any;
 use proptest::collection::vec;
 use proptest::proptest;
 
+use hawthornshift_core::direct::flow_bindings::FlowBinding;
 use hawthornshift_core::direct::reports::message::Handover;
 use hawthornshift_core::direct::store::store_entries::Delta;
 use hawthornshift_core::direct::store::store_entries::StoreEntry;
@@ -21,7 +24,7 @@
             failure_domain: format!("domain-{}", index % 6),
             slots: 2,
             draining: false,
-            cold_for: std::time::Duration::ZERO,
+            cold_for: Duration::ZERO,
             started_at_ms: 1_700_000_000_000 + u64::from(index),
         };
         VersionedEntry {
@@ -43,6 +46,22 @@
     assert!(compressed.len() * 3 < uncompressed.len() * 2, "{} of {}", compressed.len(), uncompressed.len());
 }
 
+/// Guards against a start without state while instances of two versions run: earlier ones send no flow bindings, and read
+/// nothing behind the fields that they know.
+#[test]
+fn handovers_of_earlier_versions_are_compatible() {
+    let known = snapshot(3);
+    let binding = FlowBinding { flow: 7, sequence: 8, target: 9 };
+    let sent = Handover { flow_bindings: vec![(binding, Duration::from_secs(40))], ..snapshot(3) };
+    let compressed = encode_handover(&sent).unwrap();
+    assert_eq!(decode_handover(&compressed).unwrap(), sent);
+    let read_by_earlier: Handover =
+        postcard::from_bytes(&lz4_flex::decompress_size_prepended(&compressed).unwrap()).unwrap();
+    assert_eq!(read_by_earlier, known);
+    let sent_by_earlier = lz4_flex::compress_prepend_size(&postcard::to_stdvec(&known).unwrap());
+    assert_eq!(decode_handover(&sent_by_earlier).unwrap(), known);
+}
+
 /// Guards against a short message that declares a size of gigabytes: the decompressor allocates that size before it reads
 /// the data.
 #[test]
