Ask another source when the one that a large change is pulled from freezes

Cause: the instance that watches the store announced the version, which does not fit in a datagram, and froze before it handed it over. Further pulls went to the peers that have the newest revision other than the announcer. So the next announcer, which had the version, was left out, and the frozen one, the only other, was asked again and again, with a time-out of 1 s each, until its report was 3 s old. Announcements during a pull counted as pulls, although they started none, and made later ones rarer.

Change: sources are ranked by how often they were asked for what is missing, an announcer that was not asked first of all. A pull that has not ended after 250 ms is not waited for: another source is asked beside it, two at most, so that the load of pulls in calm is as before. Equal sources are tried from a position that differs between instances, so that they do not all ask the same second one.

--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -103,7 +103,8 @@
     RoleChange(RoleChange),
     /// An announcement confirmed that no newer revision is known.
     UpToDate,
-    /// Fetch everything newer than the local revision from an instance.
+    /// Fetch everything newer than the local revision from an instance. The start and the end of the request are to be
+    /// passed to [`Fleet::pull_started`] and [`Fleet::pull_finished`].
     Pull(SocketAddr),
     /// Apply a delta of the store.
     ApplyDelta(Arc<Delta>),
@@ -156,6 +157,7 @@
         let tuning = Tuning::default().ping_period(PING_PERIOD).ping_timeout(PING_TIMEOUT);
         let tuning = tuning.suspicion(SUSPICION_TIMEOUT).lease(VIEW_LEASE);
         let rng = SmallRng::seed_from_u64(u64::from(identity.id) ^ identity.incarnation);
+        let first_source = usize::try_from(identity.id).unwrap_or_default();
         let mut membership = Membership::new(identity, tuning);
         membership.apply_instance_list(now, &seed_list(seeds));
         Self {
@@ -171,7 +173,7 @@
             largest_report: 0,
             stateless_peers: BTreeMap::new(),
             pending_fetch: None,
-            directory_lag: DirectoryLag::default(),
+            directory_lag: DirectoryLag::new(first_source),
             view_sync: ViewSync::default(),
             change_pending: false,
             next_change_at: now,
@@ -196,6 +198,16 @@
         &mut self.watcher_role
     }
 
+    /// Records that a pull requested by [`FleetEffect::Pull`] has started.
+    pub fn pull_started(&mut self, now: Timestamp, source: SocketAddr) {
+        self.directory_lag.pull_started(now, source);
+    }
+
+    /// Records that such a pull has ended, successfully or not.
+    pub fn pull_finished(&mut self, source: SocketAddr) {
+        self.directory_lag.pull_finished(source);
+    }
+
     /// Returns for how long this instance has known of a revision of the store that it does not have.
     #[must_use]
     pub fn behind_for(&self, now: Timestamp) -> Duration {
--- a/crates/core/src/direct/store/directory_lag.rs
+++ b/crates/core/src/direct/store/directory_lag.rs
@@ -39,6 +39,13 @@
 const PULL_INTERVAL: Duration = Duration::from_millis(400);
 /// Longest interval between two pulls.
 const MAX_PULL_INTERVAL: Duration = Duration::from_millis(800);
+/// Maximum number of pulls in progress.
+const MAX_CONCURRENT_PULLS: usize = 2;
+/// Time after which a pull that has not ended is not waited for any more: another source is asked beside it. A source that
+/// freezes or dies leaves it without an answer until it times out.
+const PULL_PATIENCE: Duration = Duration::from_millis(250);
+/// Maximum number of sources whose requests are counted.
+const MAX_SOURCES: usize = 16;
 /// Time for which most peers must have had a revision that this instance lacks. It exceeds [`MAX_PULL_INTERVAL`]: when a
 /// whole fleet catches up, the last instances get the revision by their next pull and must not stop placing before it.
 const PEERS_AHEAD_MIN_TIME: Duration = Duration::from_secs(1);
@@ -64,9 +71,20 @@
     received_at: Timestamp,
 }
 
+/// A peer that was asked for the missing revisions.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    address: SocketAddr,
+    /// Number of pulls from it since a missing revision was last received.
+    pulls: u32,
+    last_pull: Timestamp,
+}
+
 /// What this instance knows of revisions that it does not have.
 #[derive(Clone, Debug, Default)]
 pub struct DirectoryLag {
+    /// Position at which the search for a source among equal ones begins, so that not all instances ask the same.
+    first_source: usize,
     /// Missing revisions in ascending order, each with the time at which it became known.
     missing: VecDeque<(Revision, Timestamp)>,
     /// Latest report of each peer.
@@ -76,9 +94,19 @@
     /// Number of pulls since a missing revision was last received.
     pulls: u32,
     next_pull: Timestamp,
+    /// Peers that were asked since a missing revision was last received.
+    sources: Vec<Source>,
+    /// Pulls in progress, each with its source and its start.
+    in_progress: Vec<(SocketAddr, Timestamp)>,
 }
 
 impl DirectoryLag {
+    /// Creates the state of an instance that is complete. `first_source` should differ between instances.
+    #[must_use]
+    pub fn new(first_source: usize) -> Self {
+        Self { first_source, ..Self::default() }
+    }
+
     /// Records that a revision exists in the store; this instance is complete up to `revision`.
     pub fn heard_of(&mut self, now: Timestamp, announced: Revision, revision: Revision) {
         self.caught_up(revision);
@@ -123,6 +151,7 @@
         while self.missing.front().is_some_and(|(missing, _)| *missing <= revision) {
             self.missing.pop_front();
             self.pulls = 0;
+            self.sources.clear();
         }
     }
 
@@ -143,23 +172,84 @@
         (peers_ahead_for >= PEERS_AHEAD_MIN_TIME).then_some(missing)
     }
 
-    /// Returns the peer to pull from, or `None` if the next pull is not due yet. The first pull goes to `announcer`, the
-    /// further ones to each peer in turn that has the newest known revision.
+    /// Returns the peer to pull from, or `None` if the next pull is not due yet.
+    ///
+    /// An announcer is asked first if it has not been asked yet, and otherwise the peer that has the newest known revision
+    /// and has been asked least. A peer that does not answer must not be asked again before the others. Pulls without
+    /// success become rarer, but for the first one from a peer that is known to have the newest revision.
     pub fn take_pull(&mut self, now: Timestamp, announcer: SocketAddr) -> Option<SocketAddr> {
-        if self.pulls >= USUAL_PULLS && now < self.next_pull {
+        if !self.may_pull(now) {
             return None;
         }
-        let newest = self.missing.back().map_or(0, |(newest, _)| *newest);
-        let ahead = self.reports.values().filter(|report| report.revision >= newest).map(|report| report.address);
-        let mut others: Vec<SocketAddr> = ahead.filter(|address| *address != announcer).collect();
-        others.sort_unstable();
-        let turn = usize::try_from(self.pulls).unwrap_or_default();
-        let source = if turn == 0 || others.is_empty() { announcer } else { others[(turn - 1) % others.len()] };
+        let source = self.next_source(announcer)?;
+        let is_paced = self.pulls >= USUAL_PULLS && now < self.next_pull;
+        if is_paced && !self.is_untried_and_complete(source) {
+            return None;
+        }
+        self.count_pull(now, source);
         self.pulls = self.pulls.saturating_add(1);
         let doublings = self.pulls.saturating_sub(USUAL_PULLS);
         self.next_pull = now + backoff::exponential_backoff(PULL_INTERVAL, doublings, MAX_PULL_INTERVAL);
         Some(source)
     }
+
+    /// Records that a pull has started.
+    pub fn pull_started(&mut self, now: Timestamp, source: SocketAddr) {
+        self.in_progress.push((source, now));
+    }
+
+    /// Records that a pull has ended, successfully or not.
+    pub fn pull_finished(&mut self, source: SocketAddr) {
+        if let Some(index) = self.in_progress.iter().position(|(address, _)| *address == source) {
+            self.in_progress.remove(index);
+        }
+    }
+
+    /// Returns whether another pull may start beside those in progress.
+    fn may_pull(&self, now: Timestamp) -> bool {
+        let is_overdue = |(_, started): &(_, Timestamp)| now.saturating_sub(*started) >= PULL_PATIENCE;
+        self.in_progress.len() < MAX_CONCURRENT_PULLS && self.in_progress.iter().all(is_overdue)
+    }
+
+    /// Returns the peers that have reported the newest known revision.
+    fn complete_peers(&self) -> impl Iterator<Item = SocketAddr> {
+        let newest = self.missing.back().map_or(0, |(newest, _)| *newest);
+        self.reports.values().filter(move |report| report.revision >= newest).map(|report| report.address)
+    }
+
+    fn is_untried_and_complete(&self, source: SocketAddr) -> bool {
+        self.sources.iter().all(|tried| tried.address != source) && self.complete_peers().any(|peer| peer == source)
+    }
+
+    fn next_source(&self, announcer: SocketAddr) -> Option<SocketAddr> {
+        let mut others: Vec<SocketAddr> = self.complete_peers().filter(|address| *address != announcer).collect();
+        others.sort_unstable();
+        let first = self.first_source % others.len().max(1);
+        others.rotate_left(first);
+        let asked = |address: SocketAddr| self.sources.iter().find(|source| source.address == address);
+        let rank = |address: &SocketAddr| {
+            let (pulls, last_pull) =
+                asked(*address).map_or((0, Timestamp::ZERO), |source| (source.pulls, source.last_pull));
+            // All instances know the announcer, so the others come before it once it has been asked.
+            let is_asked_announcer = *address == announcer && pulls > 0;
+            (pulls + u32::from(is_asked_announcer), last_pull)
+        };
+        let candidates = std::iter::once(announcer).chain(others);
+        let idle = candidates.filter(|address| self.in_progress.iter().all(|(source, _)| source != address));
+        idle.min_by_key(rank)
+    }
+
+    fn count_pull(&mut self, now: Timestamp, address: SocketAddr) {
+        if let Some(source) = self.sources.iter_mut().find(|source| source.address == address) {
+            source.pulls += 1;
+            source.last_pull = now;
+            return;
+        }
+        if self.sources.len() >= MAX_SOURCES {
+            self.sources.remove(0);
+        }
+        self.sources.push(Source { address, pulls: 1, last_pull: now });
+    }
 }
 
 /// Decides whether this instance may place new flows, given the revision that it lacks.
--- a/crates/core/tests/direct/members.rs
+++ b/crates/core/tests/direct/members.rs
@@ -39,6 +39,8 @@
 /// Time that a handover takes, or a response of the store.
 const EXCHANGE_DURATION: Duration = Duration::from_millis(6);
 
+/// Time after which a pull from an instance that does not answer fails.
+const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which an instance without state checks whether to ask a peer or read the store.
 const POLL_PERIOD: Duration = Duration::from_millis(5);
 /// Maximum number of peers that an instance hands its state over to at a time.
@@ -73,6 +75,7 @@
     Tick(usize, u64),
     Datagram { to: usize, incarnation: u64, frame: Box<Frame> },
     HandoverReceived { to: usize, incarnation: u64, from: usize },
+    PullTimedOut { to: usize, incarnation: u64, from: usize },
     StoreAnswered { to: usize, incarnation: u64 },
     Poll { to: usize, incarnation: u64 },
     StoreRead { to: usize, incarnation: u64 },
@@ -256,6 +259,7 @@
             Event::Tick(index, incarnation) => self.deliver(index, incarnation, event),
             Event::Datagram { to, incarnation, .. }
             | Event::HandoverReceived { to, incarnation, .. }
+            | Event::PullTimedOut { to, incarnation, .. }
             | Event::StoreAnswered { to, incarnation }
             | Event::Poll { to, incarnation }
             | Event::StoreRead { to, incarnation } => {
@@ -306,7 +310,11 @@
         let revision = instance.revision;
         let effects = match event {
             Event::Datagram { frame, .. } => instance.fleet.handle_datagram(now, *frame, revision),
-            Event::HandoverReceived { from, .. } => return self.handover_received(index, from),
+            Event::HandoverReceived { from, .. } => return self.handover_received(index, incarnation, from),
+            Event::PullTimedOut { from, .. } => {
+                instance.fleet.pull_finished(address(from));
+                return;
+            }
             Event::StoreAnswered { .. } => return self.store_answered(index),
             Event::Poll { .. } => return self.poll_bootstrap(index, incarnation),
             Event::StoreRead { .. } => return self.store_read(index),
@@ -476,12 +484,17 @@
         }
     }
 
-    fn handover_received(&mut self, index: usize, from: usize) {
+    fn handover_received(&mut self, index: usize, incarnation: u64, from: usize) {
         self.handover_counts[from] += 1;
-        let frozen = |instance: &&Instance| instance.frozen_until <= self.now;
-        if let Some(revision) = self.instances[from].as_ref().filter(frozen).map(|instance| instance.revision) {
-            self.advance_to(index, revision);
+        let answers = |instance: &&Instance| instance.frozen_until <= self.now;
+        let Some(revision) = self.instances[from].as_ref().filter(answers).map(|instance| instance.revision) else {
+            self.schedule_after(PULL_TIMEOUT, Event::PullTimedOut { to: index, incarnation, from });
+            return;
+        };
+        if let Some(instance) = &mut self.instances[index] {
+            instance.fleet.pull_finished(address(from));
         }
+        self.advance_to(index, revision);
     }
 
     fn carry_out(&mut self, from: usize, effects: Vec<FleetEffect>) {
@@ -495,9 +508,10 @@
                     }
                 }
                 FleetEffect::Pull(address) => {
-                    let Some(incarnation) = self.instances[from].as_ref().map(|instance| instance.incarnation) else {
-                        continue;
-                    };
+                    let now = self.now;
+                    let Some(instance) = self.instances[from].as_mut() else { continue };
+                    instance.fleet.pull_started(now, address);
+                    let incarnation = instance.incarnation;
                     self.schedule_after(
                         EXCHANGE_DURATION,
                         Event::HandoverReceived { to: from, incarnation, from: self.by_address[&address] },
--- a/crates/core/tests/direct/store_updates.rs
+++ b/crates/core/tests/direct/store_updates.rs
@@ -123,3 +123,48 @@
         assert_eq!(fleet.watchers().len(), 1);
     }
 }
+
+/// Time in which a change of the configuration must be in force.
+const APPLY_BOUND: Duration = Duration::from_secs(3);
+
+/// Publishes a configuration that is too large for a datagram, freezes an instance a moment after the watcher has received
+/// it, and returns the time until all others have it.
+fn slowest_with_a_freeze(settled: &Members, frozen: usize, after: Duration) -> Option<Duration> {
+    let mut fleet = settled.clone();
+    let since = fleet.now;
+    fleet.publish(false);
+    fleet.run(after);
+    fleet.freeze(frozen, Duration::from_secs(4));
+    fleet.run(APPLY_BOUND);
+    slowest_update(&fleet, since)
+}
+
+/// Guards against requests served as the version before allows: the instance that announces a large change freezes while
+/// the others pull the change from it, and all of them ask it again and again although another one has the change.
+#[test]
+fn a_change_is_in_force_in_time_whenever_its_announcer_freezes() {
+    for count in [7, 60, 300, 584] {
+        let (settled, watcher) = settled_with_watcher(11, count);
+        for half_millis in 0..30 {
+            let after = Duration::from_micros(500) * half_millis;
+            let slowest = slowest_with_a_freeze(&settled, watcher, after);
+            assert!(slowest.is_some_and(|it| it <= APPLY_BOUND), "{count} instances, {after:?}: {slowest:?}");
+        }
+    }
+}
+
+/// Guards against the same delay by the freeze of any other instance, which may relay the announcement or be asked for the
+/// change.
+#[test]
+fn a_change_is_in_force_in_time_whichever_other_instance_freezes() {
+    for (count, step) in [(7, 1), (60, 4), (300, 31)] {
+        let (settled, watcher) = settled_with_watcher(12, count);
+        for frozen in (0..count).step_by(step).filter(|frozen| *frozen != watcher) {
+            for millis in [0, 1, 2, 4, 8, 12] {
+                let slowest = slowest_with_a_freeze(&settled, frozen, ms(millis));
+                let of = format!("{count} instances, {frozen} frozen after {millis} ms");
+                assert!(slowest.is_some_and(|it| it <= APPLY_BOUND), "{of}: {slowest:?}");
+            }
+        }
+    }
+}
--- a/crates/direct/src/command.rs
+++ b/crates/direct/src/command.rs
@@ -1,5 +1,6 @@
 //! Commands that the tasks of a process send to the loop that owns its state.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::sync::oneshot;
@@ -34,6 +35,8 @@
     },
     /// A request for a handover to another instance has ended.
     PullFinished {
+        /// The instance that was asked.
+        from: SocketAddr,
         /// Result of the request.
         outcome: PullOutcome,
         /// Duration of the request.
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -104,7 +104,8 @@
     counts: ProcessCounts,
     pause: PauseDetector,
     stopping: Option<Stopping>,
-    is_pulling: bool,
+    /// Number of requests for a handover in progress.
+    current_pulls: usize,
     is_store_unavailable: bool,
     is_directory_behind: bool,
     bootstrap: Bootstrap,
@@ -165,7 +166,7 @@
             counts: ProcessCounts::default(),
             pause: PauseDetector::new(Timestamp::ZERO, time_of_day()),
             stopping: None,
-            is_pulling: false,
+            current_pulls: 0,
             is_store_unavailable: false,
             is_directory_behind: false,
             bootstrap,
@@ -224,7 +225,7 @@
 
     fn next_due(&self) -> Timestamp {
         let due = self.dispatcher.next_due().min(self.fleet_tick_due(FLEET_TICK_PERIOD + FLEET_TICK_DELAY));
-        if self.dispatcher.directory().is_synced() || self.is_pulling {
+        if self.dispatcher.directory().is_synced() || self.current_pulls > 0 {
             return due;
         }
         due.min(self.bootstrap.next_due(self.fleet.watcher_role().should_read()))
@@ -297,7 +298,7 @@
                 // During bootstrap, requests follow its own schedule and choice of peers, so that starting instances do
                 // not all pull from the same one.
                 FleetEffect::Pull(_) if !self.dispatcher.directory().is_synced() => self.bootstrap.ask_now(now),
-                FleetEffect::Pull(from) => self.pull(from),
+                FleetEffect::Pull(from) => self.pull(now, from),
                 FleetEffect::UpToDate => self.confirm_up_to_date(now),
                 FleetEffect::ApplyDelta(delta) => self.apply_delta(now, &delta, "peer"),
                 FleetEffect::ApplyLoadReport(report) => {
@@ -364,7 +365,7 @@
                 self.dispatcher.check_finished(now, target, outcome, &mut self.effects);
                 self.execute_effects();
             }
-            Command::PullFinished { outcome, elapsed } => self.pull_finished(now, &outcome, elapsed),
+            Command::PullFinished { from, outcome, elapsed } => self.pull_finished(now, from, &outcome, elapsed),
             Command::Handover { since, answer } => self.answer_handover(now, since, answer),
             Command::Dump(answer) => drop(answer.send(dump::render(now, &self.sources()))),
             Command::Metrics(answer) => drop(answer.send(metrics::render(now, &self.sources()))),
--- a/crates/direct/src/process/store_updates.rs
+++ b/crates/direct/src/process/store_updates.rs
@@ -62,11 +62,10 @@
         }
     }
 
-    /// Requests a handover of newer entries from an instance, unless a request is in progress.
-    pub(super) fn pull(&mut self, from: SocketAddr) {
-        if std::mem::replace(&mut self.is_pulling, true) {
-            return;
-        }
+    /// Requests a handover of newer entries from an instance.
+    pub(super) fn pull(&mut self, now: Timestamp, from: SocketAddr) {
+        self.current_pulls += 1;
+        self.fleet.pull_started(now, from);
         let since = self.dispatcher.directory().fetch_since();
         let (tx, log) = (self.tx.clone(), self.log.clone());
         tokio::spawn(async move {
@@ -83,7 +82,7 @@
                 }
             };
             // Sending fails only after the process loop has ended.
-            let _ = tx.send(Command::PullFinished { outcome, elapsed }).await;
+            let _ = tx.send(Command::PullFinished { from, outcome, elapsed }).await;
         });
     }
 
@@ -118,8 +117,9 @@
         }
     }
 
-    pub(super) fn pull_finished(&mut self, now: Timestamp, outcome: &PullOutcome, elapsed: Duration) {
-        self.is_pulling = false;
+    pub(super) fn pull_finished(&mut self, now: Timestamp, from: SocketAddr, outcome: &PullOutcome, elapsed: Duration) {
+        self.current_pulls -= 1;
+        self.fleet.pull_finished(from);
         let handover = match outcome {
             PullOutcome::Received(handover) => handover,
             PullOutcome::Refused => {
@@ -198,11 +198,11 @@
 
     /// Fetches a snapshot from a peer or from the store while the instance is not synced.
     pub(super) fn fetch_snapshot(&mut self, now: Timestamp) {
-        if self.bootstrap.is_ask_due(now) {
+        if self.current_pulls == 0 && self.bootstrap.is_ask_due(now) {
             let (up_to_date, others) = (self.fleet.up_to_date_peers(), self.fleet.reachable());
             let sources = Sources { up_to_date: &up_to_date, announced: self.fleet.announced_by(), others: &others };
             if let Some(peer) = self.bootstrap.ask(now, &sources, &mut rand::rng()) {
-                self.pull(peer);
+                self.pull(now, peer);
             }
         }
         if self.bootstrap.may_read_store(now)
