Name the requests for flow bindings by their direction, and bench the bindings

Names only in the code: requests to the group and requests of peers were told apart by their verb alone, and a pull beside a slow one is hedged in the field's terms. The benchmark `flow-bindings` shows a moved packet and a report of 60 bindings with no and with 18,750 bindings known, at 300 and 1,168 members.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -21,6 +21,9 @@
 use hawthornshift_core::direct::fleet::Fleet;
 use hawthornshift_core::direct::fleet::FleetEffect;
 use hawthornshift_core::direct::fleet::instance_id;
+use hawthornshift_core::direct::flow_bindings::FlowBinding;
+use hawthornshift_core::direct::flow_bindings::FlowBindingReport;
+use hawthornshift_core::direct::flow_bindings::MAX_REPORTED_BINDINGS;
 use hawthornshift_core::direct::limits::link_budget::WIDE_LINK_MBPS;
 use hawthornshift_core::direct::mechanisms::Mechanisms;
 use hawthornshift_core::direct::reports::load_report::AnsweredRequest;
@@ -51,6 +54,8 @@
 /// Sizes of the directory, in targets.
 const TARGETS: [usize; 3] = [150, 4_800, 9_600];
 const DOMAINS: usize = 6;
+/// Number of bindings that a group of 110 instances knows while one packet in forty is lost.
+const KNOWN_BINDINGS: u64 = 18_750;
 const SERVICE: &str = "orders";
 /// Revision of the snapshot that the instances start with.
 const SNAPSHOT_REVISION: u64 = 11;
@@ -263,6 +268,41 @@
     group.finish();
 }
 
+/// Returns a report of as many bindings as fit, starting with that of flow `first`.
+fn binding_report(first: u64) -> FlowBindingReport {
+    let flows = first..first + MAX_REPORTED_BINDINGS as u64;
+    let bindings = flows.map(|flow| FlowBinding { flow, sequence: 7, target: cookie(target_id(1)) });
+    FlowBindingReport { bindings: bindings.collect(), requested: Vec::new() }
+}
+
+fn flow_bindings(c: &mut Criterion) {
+    let mut group = c.benchmark_group("flow-bindings");
+    for members in [300, 1_168] {
+        for known in [0, KNOWN_BINDINGS] {
+            let mut instance = dispatcher(members, 150);
+            for first in (0..known).step_by(MAX_REPORTED_BINDINGS) {
+                instance.apply_flow_bindings(START, &binding_report(first));
+            }
+            let packet = Segment { kind: SegmentKind::Ack, payload_bytes: 500, cookie: cookie(target_id(1)), ..syn(1) };
+            group.bench_function(BenchmarkId::new(format!("moved-packet-{known}"), members), |b| {
+                b.iter_batched_ref(
+                    || (instance.clone(), Vec::new()),
+                    |(instance, effects)| instance.handle_packet(START, &packet, &[0; 36], effects),
+                    BatchSize::PerIteration,
+                );
+            });
+            let mut first = u64::MAX / 2;
+            group.bench_function(BenchmarkId::new(format!("report-{known}"), members), |b| {
+                b.iter(|| {
+                    first += MAX_REPORTED_BINDINGS as u64;
+                    instance.apply_flow_bindings(START, &binding_report(first));
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
 fn targets(c: &mut Criterion) {
     let mut group = c.benchmark_group("targets");
     for targets in TARGETS {
@@ -313,6 +353,6 @@
 criterion_group! {
     name = benches;
     config = Criterion::default().sample_size(20).measurement_time(Duration::from_secs(1)).warm_up_time(Duration::from_millis(300));
-    targets = members, load_reports, targets
+    targets = members, load_reports, flow_bindings, targets
 }
 criterion_main!(benches);
--- a/crates/core/src/direct/dispatcher/binding.rs
+++ b/crates/core/src/direct/dispatcher/binding.rs
@@ -36,7 +36,7 @@
         for flow in &report.requested {
             match self.flows.opened(*flow).map(|flow| flow.id) {
                 Some(id) => self.bind_flow(now, id),
-                None => self.flow_bindings.record_request(now, *flow),
+                None => self.flow_bindings.record_peer_request(now, *flow),
             }
         }
     }
@@ -65,7 +65,7 @@
         let Stage::Handshake(handshake) = moved.stage else { return };
         let elsewhere = target.is_some_and(|target| target != cookie(moved.target));
         if elsewhere || !handshake.tried.is_empty() {
-            self.flow_bindings.request(moved.id.hash64());
+            self.flow_bindings.request_from_group(moved.id.hash64());
         }
     }
 
--- a/crates/core/src/direct/dispatcher/established.rs
+++ b/crates/core/src/direct/dispatcher/established.rs
@@ -58,14 +58,14 @@
         let record = self.flows.get(&segment.flow);
         let known = record.map(|flow| flow.target);
         let is_open = record.is_some_and(|flow| !matches!(flow.stage, Stage::Handshake(_)));
-        let answered_by = self.target_by_cookie(segment.cookie);
-        let target = if is_open { known } else { self.bound_target(segment).or(answered_by).or(known) };
+        let by_cookie = self.target_by_cookie(segment.cookie);
+        let target = if is_open { known } else { self.bound_target(segment).or(by_cookie).or(known) };
         let Some(target) = target else {
             self.pending.remove(segment.flow.flow_hash());
             self.record_decision(Decision::new(segment.flow, Outcome::DroppedUnknownCookie));
             return;
         };
-        if answered_by.is_some_and(|answered_by| answered_by != target) {
+        if by_cookie.is_some_and(|by_cookie| by_cookie != target) {
             let decision = Decision::new(segment.flow, Outcome::CookieOverruled);
             self.record_decision(Decision { target: Some(target), ..decision });
             self.report_overruled(now, segment);
@@ -106,7 +106,7 @@
         // The start of the request may have passed through the other instance.
         let request = RequestStart::default();
         self.flows.insert(Flow { id, target, sequence, stage, first_seen, last_seen, objective, overdue, request });
-        if self.flow_bindings.take_request(now, id.hash64()) {
+        if self.flow_bindings.take_peer_request(now, id.hash64()) {
             self.bind_flow(now, id);
         }
         if is_request {
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -428,7 +428,7 @@
         let Choice::Target(next) = self.choose(now, &pending, Limit::Queue) else { return false };
         self.place(now, pending, next, Outcome::PlacedAgain, effects);
         // The caller's answer may pass through another instance, or this one may die before it arrives.
-        self.flow_bindings.request(id.hash64());
+        self.flow_bindings.request_from_group(id.hash64());
         true
     }
 
--- a/crates/core/src/direct/flow_bindings.rs
+++ b/crates/core/src/direct/flow_bindings.rs
@@ -110,10 +110,10 @@
     due_reports: BTreeSet<(Timestamp, FlowKey)>,
     next_report: Timestamp,
     /// Flows to ask the group for, the latest last.
-    to_request: VecDeque<FlowKey>,
+    unsent_requests: VecDeque<FlowKey>,
     next_request: Timestamp,
     /// Flows that peers have asked for and that are not known here, by the time of the request.
-    asked_by_peers: FixedHashMap<FlowKey, Timestamp>,
+    peer_requests: FixedHashMap<FlowKey, Timestamp>,
 }
 
 impl FlowBindings {
@@ -203,27 +203,27 @@
         while let Some((_, flow)) = self.by_expiry.first().copied().filter(|(expires_at, _)| *expires_at <= now) {
             self.remove(flow);
         }
-        self.asked_by_peers.retain(|_, at| now.saturating_sub(*at) < REQUEST_LIFETIME);
+        self.peer_requests.retain(|_, at| now.saturating_sub(*at) < REQUEST_LIFETIME);
     }
 
     /// Records that a peer has asked for the target of a flow that is not known here.
-    pub fn record_request(&mut self, now: Timestamp, flow: FlowKey) {
-        if self.asked_by_peers.len() < MAX_REQUESTS {
-            self.asked_by_peers.insert(flow, now);
+    pub fn record_peer_request(&mut self, now: Timestamp, flow: FlowKey) {
+        if self.peer_requests.len() < MAX_REQUESTS {
+            self.peer_requests.insert(flow, now);
         }
     }
 
     /// Takes the request of a peer for a flow. Returns whether there was one.
-    pub fn take_request(&mut self, now: Timestamp, flow: FlowKey) -> bool {
-        self.asked_by_peers.remove(&flow).is_some_and(|at| now.saturating_sub(at) < REQUEST_LIFETIME)
+    pub fn take_peer_request(&mut self, now: Timestamp, flow: FlowKey) -> bool {
+        self.peer_requests.remove(&flow).is_some_and(|at| now.saturating_sub(at) < REQUEST_LIFETIME)
     }
 
     /// Asks the group for the target of a flow, in place of the flow that has waited longest if there are too many.
-    pub fn request(&mut self, flow: FlowKey) {
-        if self.to_request.len() >= MAX_REQUESTED_FLOWS {
-            self.to_request.pop_front();
+    pub fn request_from_group(&mut self, flow: FlowKey) {
+        if self.unsent_requests.len() >= MAX_REQUESTED_FLOWS {
+            self.unsent_requests.pop_front();
         }
-        self.to_request.push_back(flow);
+        self.unsent_requests.push_back(flow);
     }
 
     /// Takes the report to send to the group now; empty if none is due.
@@ -254,19 +254,19 @@
     }
 
     fn take_requests(&mut self, now: Timestamp) -> Vec<FlowKey> {
-        if now < self.next_request || self.to_request.is_empty() {
+        if now < self.next_request || self.unsent_requests.is_empty() {
             return Vec::new();
         }
         self.next_request = now + REQUEST_PERIOD;
         let known = &self.known;
-        self.to_request.drain(..).filter(|flow| !known.contains_key(flow)).collect()
+        self.unsent_requests.drain(..).filter(|flow| !known.contains_key(flow)).collect()
     }
 
     /// Returns when the next report is due, if there is one.
     #[must_use]
     pub fn next_due(&self) -> Option<Timestamp> {
         let bindings = self.due_reports.first().map(|(due, _)| self.next_report.max(*due));
-        let requests = (!self.to_request.is_empty()).then_some(self.next_request);
+        let requests = (!self.unsent_requests.is_empty()).then_some(self.next_request);
         bindings.into_iter().chain(requests).min()
     }
 
--- a/crates/core/src/direct/store/directory_lag.rs
+++ b/crates/core/src/direct/store/directory_lag.rs
@@ -41,9 +41,9 @@
 const MAX_PULL_INTERVAL: Duration = Duration::from_millis(800);
 /// Maximum number of pulls in progress.
 const MAX_CONCURRENT_PULLS: usize = 2;
-/// Time after which a pull that has not ended is not waited for any more: another source is asked beside it. A source that
-/// freezes or dies leaves it without an answer until it times out.
-const PULL_PATIENCE: Duration = Duration::from_millis(250);
+/// Time after which a pull that has not ended is hedged: another source is asked beside it. A source that freezes or dies
+/// leaves it without an answer until it times out.
+const PULL_HEDGE_DELAY: Duration = Duration::from_millis(250);
 /// Maximum number of sources whose requests are counted.
 const MAX_SOURCES: usize = 16;
 /// Time for which most peers must have had a revision that this instance lacks. It exceeds [`MAX_PULL_INTERVAL`]: when a
@@ -207,7 +207,7 @@
 
     /// Returns whether another pull may start beside those in progress.
     fn may_pull(&self, now: Timestamp) -> bool {
-        let is_overdue = |(_, started): &(_, Timestamp)| now.saturating_sub(*started) >= PULL_PATIENCE;
+        let is_overdue = |(_, started): &(_, Timestamp)| now.saturating_sub(*started) >= PULL_HEDGE_DELAY;
         self.in_progress.len() < MAX_CONCURRENT_PULLS && self.in_progress.iter().all(is_overdue)
     }
 
--- a/crates/core/tests/direct/flow_bindings.rs
+++ b/crates/core/tests/direct/flow_bindings.rs
@@ -229,7 +229,7 @@
     let mut bindings = FlowBindings::default();
     for flow in 0..100_000 {
         bindings.observe(START, binding(flow));
-        bindings.request(flow + 200_000);
+        bindings.request_from_group(flow + 200_000);
     }
     assert!(bindings.len() <= 1 << 15);
     let report = bindings.take_report(START);
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -453,9 +453,9 @@
                 self.peers.send(&self.group_addresses, &Frame::LoadReport(part));
             }
         }
-        let bindings = self.dispatcher.take_flow_bindings(now);
-        if !bindings.is_empty() {
-            self.peers.send(&self.group_addresses, &Frame::FlowBindings(bindings));
+        let report = self.dispatcher.take_flow_bindings(now);
+        if !report.is_empty() {
+            self.peers.send(&self.group_addresses, &Frame::FlowBindings(report));
         }
         if let Some(report) = self.dispatcher.take_answer_times(now) {
             self.peers.send(&self.group_addresses, &Frame::AnswerTimes(report));
