--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -371,7 +371,8 @@
     pub safe_requests: bool,
     /// What a target with a full queue does.
     pub when_full: WhenFull,
-    /// Share of the first answers to SYNs that are lost. Targets repeat them until the flow is open or they give up.
+    /// Share of the first answers to SYNs that are lost. If it is not zero, targets repeat their answers for some seconds, and
+    /// do not process data of flows that are open elsewhere.
     pub answer_loss: f64,
     /// Where an instance that starts gets its state from.
     pub start_from: StartFrom,
@@ -1238,6 +1239,7 @@
         let Request { flow, established, .. } = self.requests[request];
         let is_foreign = flow == segment.flow && established.is_some_and(|(target, _)| target != id);
         if self.answer_loss > 0.0 && is_data && is_foreign {
+            // Until its target has received the end of the handshake, the flow is not open anywhere.
             let is_open =
                 |(target, _): (TargetId, Cookie)| matches!(self.targets[&target].flows.get(&flow), Some(Some(_)));
             self.misdirected_packets += usize::from(established.is_some_and(is_open));
