--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -186,8 +186,8 @@
     for part in ["--id", "--platform", "--failure-domain", "--control", "lease", "SURPRISE", "--admin-token"] {
         assert!(text.contains(part), "{part} is not named in: {text}");
     }
-    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let _held = std::net::TcpListener::bind(taken).unwrap();
+    let held = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let taken = held.local_addr().unwrap();
     let output = Command::new(INSTANCE)
         .args(["--id", "1", "--failure-domain", "norte", "--platform", "127.0.0.1:1"])
         .args(["--control", &taken.to_string(), "--forward", "127.0.0.1:0", "--admin", "127.0.0.1:0"])
