--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins of review/4 to review/8. Run it in the root of the repository, after the build of the deploy file.
+# Builds the stand-in of review/4 to review/8 into target/review-2. Needs the Rust toolchain of the repository only.
 set -e
+cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 rustc --edition 2021 -O -o target/review-2/standin-2 review/standin-2.rs
