Keep open flows when their route is not known yet

Cause: any packet to an address without a route was reset, also packets of flows that were opened through another instance under a newer configuration. An instance that has just started takes its state from a peer, and a change that is published before the watcher knows of it is not pushed to it; it fetches it 0.2 s after it has heard of it.

Change: a reset for the lack of a route is sent only where the flow cannot have been opened under a newer configuration: for first SYNs, for flows recorded here, whose route was dropped under them, and for waiting flows all of whose copies were received here. Other packets are dropped (`dropped-no-route`) and retransmitted by their callers. It was not enough to wait while `behind_ms` is above zero: an instance does not know of a change for up to 0.3 s. A tombstone of a dropped route is no proof either, since the route may have been added again.

Related paths: a route dropped and added again; a late copy of a SYN; a late copy of a SYN to a route none of whose services has a weight.

--- a/crates/core/src/direct/decision.rs
+++ b/crates/core/src/direct/decision.rs
@@ -23,7 +23,8 @@
     PlacedCold,
     /// A new flow was queued until a slot is free.
     Waiting,
-    /// A flow was reset since its address has no route; the packet was sent to no target.
+    /// A flow was reset since no configuration known here has its route, or the latest one dropped it; the packet was sent
+    /// to no target.
     ResetNoRoute,
     /// A new flow was reset since no target is eligible; it was sent to no target.
     ResetNoTarget,
@@ -38,6 +39,9 @@
     ResetUnreachable,
     /// A packet was dropped since this instance does not have the configuration and the targets yet.
     DroppedNotReady,
+    /// A packet was dropped since its address has no route here. Its flow may have been opened through another instance,
+    /// under a newer configuration.
+    DroppedNoRoute,
     /// A packet was dropped since no target has its cookie.
     DroppedUnknownCookie,
     /// A pending flow was dropped without a reset, since another instance may have placed it meanwhile.
--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -538,7 +538,7 @@
             return;
         }
         let Some(route) = self.directory.route(segment.flow.service) else {
-            self.reset_no_route(segment, effects);
+            self.handle_unrouted(now, segment, effects);
             return;
         };
         match segment.kind {
@@ -561,11 +561,24 @@
         }
     }
 
-    /// Resets a flow whose address has no route, unless the packet is itself a reset.
-    fn reset_no_route(&mut self, segment: &Segment, effects: &mut Vec<Effect>) {
-        self.flows.remove(&segment.flow);
+    /// Handles a packet to an address without a route.
+    ///
+    /// This instance may lack a newer configuration, under which the flow was opened through another instance. Only flows
+    /// for which that is impossible are reset: new ones, and those recorded here, whose route was dropped under them. Others
+    /// get no answer, and their callers retransmit the packet.
+    fn handle_unrouted(&mut self, now: Timestamp, segment: &Segment, effects: &mut Vec<Effect>) {
+        if let Some(mut pending) = self.pending.take_flow(&segment.flow) {
+            if let SegmentKind::Syn { retransmissions } = segment.kind {
+                pending.copies.record(now, retransmissions);
+                self.reject_pending(now, &pending, Outcome::ResetNoRoute, effects);
+            }
+            return;
+        }
+        let is_recorded = self.flows.remove(&segment.flow).is_some();
         self.abandon_request(segment.flow);
-        if segment.kind != SegmentKind::Rst {
+        if !is_recorded && segment.kind != (SegmentKind::Syn { retransmissions: 0 }) {
+            self.record_decision(Decision::new(segment.flow, Outcome::DroppedNoRoute));
+        } else if segment.kind != SegmentKind::Rst {
             effects.push(Effect::Reset(*segment));
             self.record_decision(Decision::new(segment.flow, Outcome::ResetNoRoute));
         }
--- a/crates/core/src/direct/dispatcher/syn.rs
+++ b/crates/core/src/direct/dispatcher/syn.rs
@@ -84,13 +84,12 @@
         let hash = segment.flow.hash64();
         let shares = route.shares.iter();
         let weighted = shares.map(|share| (share, xxh3_64(share.service.as_bytes()), share.weight));
+        let mut pending =
+            PendingFlow::new(*segment, packet, received_at, retransmissions, route.latency_objective, route.timeout);
         let Some(share) = rendezvous::pick_weighted(hash, weighted) else {
-            effects.push(Effect::Reset(*segment));
-            self.record_decision(Decision::new(segment.flow, Outcome::ResetNoTarget));
+            self.reject_pending(now, &pending, Outcome::ResetNoTarget, effects);
             return;
         };
-        let mut pending =
-            PendingFlow::new(*segment, packet, received_at, retransmissions, route.latency_objective, route.timeout);
         pending.priority = route.priority;
         pending.service.clone_from(&share.service);
         if !self.is_enabled(Mechanism::LateLast) {
--- a/crates/core/src/direct/limits/pending.rs
+++ b/crates/core/src/direct/limits/pending.rs
@@ -14,6 +14,7 @@
 use crate::direct::limits::admission::QueueDepth;
 use crate::direct::limits::fair_share::FlowClass;
 use crate::direct::segment::FlowHash;
+use crate::direct::segment::FlowId;
 use crate::direct::segment::Segment;
 use crate::direct::syn_copies::SynCopies;
 use hawthornshift_model::TargetId;
@@ -192,6 +193,12 @@
         self.late.retain(|pending| pending.segment.flow.flow_hash() != flow);
     }
 
+    /// Removes and returns a flow.
+    pub fn take_flow(&mut self, flow: &FlowId) -> Option<PendingFlow> {
+        let index = self.iter().position(|pending| pending.segment.flow == *flow)?;
+        self.take(index)
+    }
+
     /// Removes and returns the flow at a position, where the most urgent flow is at zero.
     pub fn take(&mut self, index: usize) -> Option<PendingFlow> {
         if index < self.in_time.len() {
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -25,4 +25,5 @@
 mod store_updates;
 mod target_speed;
 mod timers;
+mod unknown_routes;
 mod watching;
