Hand over in parts what exceeds the size of a message

Cause: an instance asks a peer for everything that is newer than its own revision. A handover has a maximum size, what it must carry has none. An answer above 2 MiB was refused whole, so the revision did not advance, and the next request asked for the same and more.

Evidence: `pull failed` with "the declared size of the handover exceeds the maximum" at all six, with a gap of 2.9 MB; the watcher, which reads the store, had the version.

Change: a peer gets what it lacks in parts of 512 KiB in the order of the entries' revisions, each with at least one entry. The requester names the position behind which the next part begins and applies all parts as one delta. An entry that changes meanwhile has a higher revision and is in a later part again. The configuration and the evacuations are in the first part, so the result counts as complete up to that part's revision only. The maximum of a message is 4 MiB, for the largest configuration and entry that the store accepts. The position travels in a header and behind the known fields, so instances of earlier versions get and send everything at once, as before. Raising the limit alone was ruled out: the writers decide how much it is.

Related path: a difference of configurations with more removed and changed routes than the configuration has routes is sent as the whole configuration.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -344,8 +344,36 @@
                 instance.tick(now, &mut Vec::new());
             });
         });
+    }
+    group.finish();
+}
+
+fn handovers(c: &mut Criterion) {
+    let mut group = c.benchmark_group("targets");
+    for targets in TARGETS {
         let instance = dispatcher(584, targets);
         group.bench_function(BenchmarkId::new("handover", targets), |b| b.iter(|| instance.handover(START, 0)));
+        let mut changed = dispatcher(584, targets);
+        let entry = StoreEntry::Target(target_id(1), Some(TargetSpec { draining: true, ..target_spec(1) }));
+        let revision = SNAPSHOT_REVISION + 1;
+        let entries = vec![VersionedEntry { revision, entry }];
+        let delta = Delta { since: SNAPSHOT_REVISION, revision, is_snapshot: false, entries };
+        changed.apply_delta(START, &delta, &mut Vec::new());
+        group.bench_function(BenchmarkId::new("handover-of-a-change", targets), |b| {
+            b.iter(|| changed.handover(START, SNAPSHOT_REVISION));
+        });
+        let mut number = 0;
+        group.bench_function(BenchmarkId::new("packet-without-route", targets), |b| {
+            b.iter(|| {
+                number += 1;
+                let flow = FlowId { service: SocketAddrV4::new([198, 18, 9, 9].into(), 1), ..syn(number).flow };
+                let data = Segment { flow, kind: SegmentKind::Ack, ..syn(number) };
+                let mut effects = Vec::new();
+                changed.handle_packet(START, &data, &[0; 36], &mut effects);
+                changed.take_decisions();
+                effects
+            });
+        });
     }
     group.finish();
 }
@@ -353,6 +381,6 @@
 criterion_group! {
     name = benches;
     config = Criterion::default().sample_size(20).measurement_time(Duration::from_secs(1)).warm_up_time(Duration::from_millis(300));
-    targets = members, load_reports, flow_bindings, targets
+    targets = members, load_reports, flow_bindings, targets, handovers
 }
 criterion_main!(benches);
--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -49,6 +49,7 @@
 use crate::direct::store::directory::Directory;
 use crate::direct::store::directory_lag::MissingRevision;
 use crate::direct::store::directory_lag::PlacementGate;
+use crate::direct::store::parts::PartRequest;
 use crate::direct::store::store_entries::Delta;
 use crate::direct::targets::answer_times::AnswerTimes;
 use crate::direct::targets::domain_reach::DomainReach;
@@ -489,13 +490,19 @@
     /// other peer has them from load reports.
     #[must_use]
     pub fn handover(&self, now: Timestamp, since: Revision) -> Handover {
-        let delta = self.directory.delta_since(now, since);
-        if since > 0 {
-            return Handover { delta, ..Handover::default() };
+        self.handover_part(now, since, PartRequest::WHOLE)
+    }
+
+    /// Returns a part of [`Dispatcher::handover`].
+    #[must_use]
+    pub fn handover_part(&self, now: Timestamp, since: Revision, part: PartRequest) -> Handover {
+        let (delta, next) = self.directory.part_since(now, since, part);
+        if since > 0 || !part.is_first() {
+            return Handover { delta, next, ..Handover::default() };
         }
         let (open_requests, avoid) = (self.open_requests.open(now).collect(), self.outliers.avoided(now).collect());
         let flow_bindings = self.flow_bindings.handover(now).collect();
-        Handover { delta, open_requests, avoid, members: Vec::new(), flow_bindings }
+        Handover { delta, open_requests, avoid, members: Vec::new(), flow_bindings, next }
     }
 
     /// Applies a state transfer from a peer. Returns whether its delta changed the directory.
--- a/crates/core/src/direct/reports/message.rs
+++ b/crates/core/src/direct/reports/message.rs
@@ -15,6 +15,7 @@
 use crate::direct::reports::capacity_report::CapacityReport;
 use crate::direct::reports::load_report::LoadReport;
 use crate::direct::segment::FlowHash;
+use crate::direct::store::parts::PartPosition;
 use crate::direct::store::store_entries::Delta;
 use crate::membership::ViewDigest;
 use crate::message::MemberUpdate;
@@ -183,4 +184,9 @@
     /// Encoded behind the other fields, which instances of earlier versions read alone.
     #[serde(skip)]
     pub flow_bindings: Vec<(FlowBinding, Duration)>,
+    /// Position behind which the next part begins; `None` if this is the last one.
+    ///
+    /// Encoded behind the flow bindings. Instances of earlier versions neither request nor send parts.
+    #[serde(skip)]
+    pub next: Option<PartPosition>,
 }
--- a/crates/core/src/direct/store/directory/mod.rs
+++ b/crates/core/src/direct/store/directory/mod.rs
@@ -18,6 +18,9 @@
 use self::index::TargetIndex;
 use crate::Timestamp;
 use crate::direct::segment::Cookie;
+use crate::direct::store::parts;
+use crate::direct::store::parts::PartPosition;
+use crate::direct::store::parts::PartRequest;
 use crate::direct::store::routes::ApplyOutcome;
 use crate::direct::store::routes::Routes;
 use crate::direct::store::store_entries::Delta;
@@ -463,24 +466,44 @@
     /// Returns what has changed since a revision, or a full snapshot if that is no longer known.
     #[must_use]
     pub fn delta_since(&self, now: Timestamp, since: Revision) -> Delta {
+        self.part_since(now, since, PartRequest::WHOLE).0
+    }
+
+    /// Returns a part of [`Directory::delta_since`], and the position behind which the next part begins if there is one.
+    ///
+    /// The configuration and the evacuations are in the first part. Their revisions may be higher than those of targets in
+    /// later parts, so only a peer that has all parts is complete.
+    #[must_use]
+    pub fn part_since(&self, now: Timestamp, since: Revision, part: PartRequest) -> (Delta, Option<PartPosition>) {
         let is_snapshot = since == 0 || since < self.discarded_up_to;
         let since = if is_snapshot { 0 } else { since };
-        let targets = self
-            .targets
-            .values()
-            .map(|target| VersionedEntry { revision: target.revision, entry: entry_for_peer(now, target) });
+        let mut entries = if part.is_first() { self.undivided_since(since) } else { Vec::new() };
+        let mut bytes: usize = entries.iter().map(|versioned| parts::entry_bytes(&versioned.entry)).sum();
+        let position = |target: &Target| PartPosition { revision: target.revision, target: target.id };
+        let is_missing = |target: &&Target| target.revision > since && position(target) > part.after;
+        let mut missing: Vec<&Target> = self.targets.values().filter(is_missing).collect();
+        missing.sort_unstable_by_key(|target| position(target));
+        let mut missing = missing.into_iter().peekable();
+        let mut next = None;
+        // Each part has at least one target, so that the next one advances.
+        while let Some(target) = missing.next_if(|_| next.is_none() || bytes < part.max_bytes) {
+            bytes += parts::target_bytes(&target.spec);
+            entries.push(VersionedEntry { revision: target.revision, entry: entry_for_peer(now, target) });
+            next = Some(position(target));
+        }
+        let next = next.filter(|_| missing.peek().is_some());
+        let is_snapshot = is_snapshot && self.has_snapshot;
+        (Delta { since, revision: self.revision, is_snapshot, entries }, next)
+    }
+
+    /// Returns the newer entries that are not divided into parts: the configuration and the evacuations.
+    fn undivided_since(&self, since: Revision) -> Vec<VersionedEntry> {
         let domains = self.domains.iter().map(|(domain, (revision, evacuated))| VersionedEntry {
             revision: *revision,
             entry: StoreEntry::Evacuated(domain.clone(), *evacuated),
         });
         let routing = self.routes.iter().filter_map(|routes| routes.entry_since(since));
-        let entries = targets.chain(domains).chain(routing).filter(|versioned| versioned.revision > since);
-        Delta {
-            since,
-            revision: self.revision,
-            is_snapshot: is_snapshot && self.has_snapshot,
-            entries: entries.collect(),
-        }
+        domains.chain(routing).filter(|versioned| versioned.revision > since).collect()
     }
 
     /// Returns a delta of the store in the form sent to peers, after it was applied here: a configuration is reduced to
--- a/crates/core/src/direct/store/mod.rs
+++ b/crates/core/src/direct/store/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod directory;
 pub mod directory_lag;
+pub mod parts;
 pub mod routes;
 pub mod store_entries;
 pub mod watch;
--- a/crates/core/src/direct/store/routes.rs
+++ b/crates/core/src/direct/store/routes.rs
@@ -154,10 +154,12 @@
         }
         // The other instance knows everything up to `since`, so it has the latest configuration at or before `since`
         // that is known here, or one that was never known here. In the latter case it requests a full snapshot.
-        let entry = match self.known_revisions.range(..=since).next_back() {
-            None => StoreEntry::Routing(self.routing.clone()),
-            Some(&base) => StoreEntry::RoutingChange(self.changes_since(base)),
-        };
+        let base = self.known_revisions.range(..=since).next_back();
+        let change = base.map(|base| self.changes_since(*base));
+        // The removed routes of many versions may be more than all present ones.
+        let change = change.filter(|change| change.changed.len() + change.removed.len() <= self.routing.routes.len());
+        let full = || StoreEntry::Routing(self.routing.clone());
+        let entry = change.map_or_else(full, StoreEntry::RoutingChange);
         Some(VersionedEntry { revision: self.revision, entry })
     }
 
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod flow_bindings;
 mod foreign_entries;
+mod handover_parts;
 mod hanging;
 mod link_budget;
 mod load;
--- a/crates/direct/src/command.rs
+++ b/crates/direct/src/command.rs
@@ -6,6 +6,7 @@
 use tokio::sync::oneshot;
 
 use hawthornshift_core::direct::reports::message::Handover;
+use hawthornshift_core::direct::store::parts::PartPosition;
 use hawthornshift_core::direct::store::store_entries::Delta;
 use hawthornshift_core::direct::targets::reachability::CheckOutcome;
 use hawthornshift_model::Revision;
@@ -46,6 +47,8 @@
     Handover {
         /// Revision up to which the other instance is synced; 0 requests a snapshot.
         since: Revision,
+        /// Position behind which the requested part begins; `None` if everything is requested at once.
+        after: Option<PartPosition>,
         /// Receives the encoded handover.
         answer: oneshot::Sender<Vec<u8>>,
     },
@@ -81,5 +84,6 @@
     },
 }
 
-/// Timeout of a handover request to another instance; longer than a full snapshot takes over a link of 10 Mbit/s.
+/// Timeout of a request for a handover, or a part of one, to another instance; longer than a full snapshot of the largest
+/// deployment takes over a link of 10 Mbit/s.
 pub const PULL_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/direct/src/dump.rs
+++ b/crates/direct/src/dump.rs
@@ -43,9 +43,9 @@
 /// Counters of handovers to other instances.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct HandoverCounts {
-    /// Handovers sent.
+    /// Handovers sent, or parts of them.
     pub answers: u64,
-    /// Encoded bytes of these handovers.
+    /// Encoded bytes of these.
     pub bytes: u64,
 }
 
--- a/crates/direct/src/http_server.rs
+++ b/crates/direct/src/http_server.rs
@@ -30,6 +30,8 @@
 
 use crate::command::Command;
 use crate::peers::HANDOVER_PATH;
+use crate::peers::PART_HEADER;
+use hawthornshift_core::direct::store::parts::PartPosition;
 use hawthornshift_platform::READY_PATH;
 
 /// Path of the metrics.
@@ -64,6 +66,16 @@
         !self.has_state.swap(true, Ordering::Relaxed)
     }
 
+    /// Returns the permit for a snapshot or a part of one, or `None` if too many are being sent. A peer that has the first
+    /// part waits for the permit, since a refusal would make it begin again.
+    async fn permit(&self, after: Option<PartPosition>) -> Option<OwnedSemaphorePermit> {
+        let permits = Arc::clone(&self.permits);
+        match after {
+            None | Some(PartPosition::START) => permits.try_acquire_owned().ok(),
+            Some(_) => permits.acquire_owned().await.ok(),
+        }
+    }
+
     /// Returns the number of peers that can be served now in addition to those that are being served.
     #[must_use]
     pub fn available(&self) -> usize {
@@ -142,7 +154,7 @@
             }
             METRICS_PATH => self.query_process(Command::Metrics).await,
             DUMP_PATH => self.query_process(Command::Dump).await,
-            HANDOVER_PATH => self.handover(req.uri().query()).await,
+            HANDOVER_PATH => self.handover(req).await,
             _ => respond(StatusCode::NOT_FOUND, Bytes::new()),
         }
     }
@@ -156,20 +168,26 @@
         }
     }
 
-    async fn handover(&self, query: Option<&str>) -> Response<Full<Bytes>> {
+    async fn handover(&self, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+        let query = req.uri().query();
         let since = query.and_then(|query| query.strip_prefix("since=")).and_then(|since| since.parse().ok());
         let Some(since) = since else {
             return respond(StatusCode::BAD_REQUEST, Bytes::from_static(b"since=REVISION is missing"));
         };
+        let after = req.headers().get(PART_HEADER).map(|after| after.to_str().ok().and_then(|text| text.parse().ok()));
+        if after == Some(None) {
+            return respond(StatusCode::BAD_REQUEST, Bytes::from_static(b"the position of the part is invalid"));
+        }
+        let after = after.flatten();
         if !self.handovers.has_state.load(Ordering::Relaxed) {
             return respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
         }
-        let permit = if since == 0 { Arc::clone(&self.handovers.permits).try_acquire_owned().ok() } else { None };
+        let permit = if since == 0 { self.handovers.permit(after).await } else { None };
         if since == 0 && permit.is_none() {
             return respond(StatusCode::TOO_MANY_REQUESTS, Bytes::new());
         }
         let (answer, rx) = oneshot::channel();
-        let sent = self.tx.send(Command::Handover { since, answer }).await;
+        let sent = self.tx.send(Command::Handover { since, after, answer }).await;
         match rx.await.ok().filter(|_| sent.is_ok()) {
             Some(body) => respond(StatusCode::OK, handover_body(body, permit)),
             None => respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::HeaderName;
+use http::HeaderValue;
 use http::StatusCode;
 use lz4_flex::block::DecompressError;
 use lz4_flex::block::uncompressed_size;
@@ -18,6 +20,8 @@
 use hawthornshift_core::direct::reports::message::FrameKind;
 use hawthornshift_core::direct::reports::message::Handover;
 use hawthornshift_core::direct::reports::message::MAX_DATAGRAM_BYTES;
+use hawthornshift_core::direct::store::parts::PartMismatch;
+use hawthornshift_core::direct::store::parts::PartPosition;
 use hawthornshift_core::direct::store::store_entries::Delta;
 use hawthornshift_model::Revision;
 
@@ -26,8 +30,14 @@
 /// Maximum encoded size of a delta that is pushed, in bytes. It leaves room in the datagram for the sender's identity and
 /// the recipients to forward to. Larger deltas are only announced, and instances that lack them pull them.
 const MAX_PUSH_BYTES: usize = 1_100;
-/// Maximum size of a handover in bytes: twice that of 4,800 targets of 100 bytes and 5,000 routes of 60 bytes.
-const MAX_HANDOVER_BYTES: usize = 2 << 20;
+/// Maximum size of a handover, or of one part of it, in bytes. The largest part has a configuration and a target's entry, each
+/// as large as a value of the store may be (1 MiB), and the open requests and flow bindings.
+const MAX_HANDOVER_BYTES: usize = 4 << 20;
+/// Size of a part in bytes from which on no further entry is added. A link of 20 Mbit/s carries it in 0.2 s.
+pub const MAX_PART_BYTES: usize = 512 << 10;
+/// Header of a request for a handover in parts: the position behind which the part begins. Instances of earlier versions
+/// ignore it and send everything at once.
+pub const PART_HEADER: HeaderName = HeaderName::from_static("handover-after");
 /// HTTP path of the handover; contains the protocol version.
 pub const HANDOVER_PATH: &str = "/peer/v6/handover";
 
@@ -64,6 +74,9 @@
     /// The decompressed size that the answer declares exceeds the maximum.
     #[error("the declared size of the handover exceeds the maximum")]
     TooLarge,
+    /// A further part does not belong to the handover.
+    #[error("the parts of the handover do not fit together: {0}")]
+    PartMismatch(#[from] PartMismatch),
 }
 
 /// UDP socket for messages between instances.
@@ -152,13 +165,28 @@
     (*version == PROTOCOL_VERSION).then(|| postcard::from_bytes(rest).ok()).flatten()
 }
 
-/// Requests all entries newer than revision `since` from an instance; `limit` is the timeout.
+/// Requests all entries newer than revision `since` from an instance, part by part; `limit` is the timeout of each part.
 ///
 /// # Errors
 ///
-/// Returns an error if the instance refuses, does not answer in time, or its answer cannot be decoded.
+/// Returns an error if the instance refuses, does not answer in time, or its answers cannot be decoded.
 pub async fn pull(from: SocketAddr, since: Revision, limit: Duration) -> Result<Handover, HandoverError> {
-    let call = Call::get(from, format!("{HANDOVER_PATH}?since={since}"), limit, MAX_HANDOVER_BYTES);
+    let mut handover = pull_part(from, since, PartPosition::START, limit).await?;
+    while let Some(after) = handover.next {
+        handover.append(pull_part(from, since, after, limit).await?)?;
+    }
+    Ok(handover)
+}
+
+async fn pull_part(
+    from: SocketAddr,
+    since: Revision,
+    after: PartPosition,
+    limit: Duration,
+) -> Result<Handover, HandoverError> {
+    let mut call = Call::get(from, format!("{HANDOVER_PATH}?since={since}"), limit, MAX_HANDOVER_BYTES);
+    let after = HeaderValue::try_from(after.to_string()).map_err(http::Error::from).map_err(ExchangeError::from)?;
+    call.headers.insert(PART_HEADER, after);
     let response = call.send().await?;
     if response.status != StatusCode::OK {
         return Err(HandoverError::Refused(response.status));
@@ -177,6 +205,7 @@
 pub fn encode_handover(handover: &Handover) -> Result<Vec<u8>, postcard::Error> {
     let encoded = postcard::to_extend(handover, Vec::new())?;
     let encoded = postcard::to_extend(&handover.flow_bindings, encoded)?;
+    let encoded = postcard::to_extend(&handover.next, encoded)?;
     Ok(lz4_flex::compress_prepend_size(&encoded))
 }
 
@@ -193,7 +222,8 @@
     }
     let decompressed = lz4_flex::decompress_size_prepended(compressed)?;
     let (handover, rest) = postcard::take_from_bytes::<Handover>(&decompressed)?;
-    // Instances of earlier versions send no bindings.
-    let flow_bindings = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
-    Ok(Handover { flow_bindings, ..handover })
+    // Instances of earlier versions send no bindings, or no position.
+    let (flow_bindings, rest) = if rest.is_empty() { Default::default() } else { postcard::take_from_bytes(rest)? };
+    let next = if rest.is_empty() { None } else { postcard::from_bytes(rest)? };
+    Ok(Handover { flow_bindings, next, ..handover })
 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -366,7 +366,7 @@
                 self.execute_effects();
             }
             Command::PullFinished { from, outcome, elapsed } => self.pull_finished(now, from, &outcome, elapsed),
-            Command::Handover { since, answer } => self.answer_handover(now, since, answer),
+            Command::Handover { since, after, answer } => self.answer_handover(now, since, after, answer),
             Command::Dump(answer) => drop(answer.send(dump::render(now, &self.sources()))),
             Command::Metrics(answer) => drop(answer.send(metrics::render(now, &self.sources()))),
         }
--- a/crates/direct/src/process/store_updates.rs
+++ b/crates/direct/src/process/store_updates.rs
@@ -22,6 +22,8 @@
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::lifecycle::bootstrap::Sources;
 use hawthornshift_core::direct::reports::message::Handover;
+use hawthornshift_core::direct::store::parts::PartPosition;
+use hawthornshift_core::direct::store::parts::PartRequest;
 use hawthornshift_core::direct::store::store_entries::Delta;
 use hawthornshift_core::direct::store::watch::RoleChange;
 use hawthornshift_model::Revision;
@@ -144,12 +146,19 @@
         self.update_has_state(now);
     }
 
-    /// Sends an instance all entries newer than the revision up to which it is synced, and the list of members if it has
-    /// just started (revision 0).
-    pub(super) fn answer_handover(&mut self, now: Timestamp, since: Revision, answer: oneshot::Sender<Vec<u8>>) {
-        let handover = self.dispatcher.handover(now, since);
+    /// Sends an instance the entries newer than the revision up to which it is synced, all or a part of them, and the list of
+    /// members if it has just started (revision 0).
+    pub(super) fn answer_handover(
+        &mut self,
+        now: Timestamp,
+        since: Revision,
+        after: Option<PartPosition>,
+        answer: oneshot::Sender<Vec<u8>>,
+    ) {
+        let part = after.map_or(PartRequest::WHOLE, |after| PartRequest { after, max_bytes: peers::MAX_PART_BYTES });
+        let handover = self.dispatcher.handover_part(now, since, part);
         let is_snapshot_request = since == 0;
-        let members = if is_snapshot_request { self.fleet.handover() } else { Vec::new() };
+        let members = if is_snapshot_request && part.is_first() { self.fleet.handover() } else { Vec::new() };
         let body = match peers::encode_handover(&Handover { members, ..handover }) {
             Ok(body) => body,
             Err(error) => {
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -43,6 +43,7 @@
 struct TestInstance {
     store: Store,
     instance: Instance,
+    ports: Ports,
     directory: PathBuf,
 }
 
@@ -58,16 +59,35 @@
         drop(listeners);
         let ip = unique_loopback_address();
         let instance = Instance::new((0, "norte"), ip, ports, (store.address(), &[]), &directory).unwrap();
-        Self { store, instance, directory }
+        Self { store, instance, ports, directory }
+    }
+
+    /// Returns another instance with the same store, which has this one as its seed.
+    fn neighbor(&self) -> Self {
+        let (store, ports, ip) = (self.store.clone(), self.ports, unique_loopback_address());
+        let directory = self.directory.join("neighbor");
+        std::fs::create_dir_all(&directory).unwrap();
+        let seeds = [self.instance.ip];
+        let instance = Instance::new((0, "sur"), ip, ports, (store.address(), &seeds), &directory).unwrap();
+        Self { store, instance, ports, directory }
     }
 
     fn publish(&self) {
-        let route = json!({
-            "name": "r", "hostname": "198.18.0.1", "prefix": "/443/", "type": "safe", "timeout-ms": 1_000,
-            "target-latency-ms": 100, "priority": 1, "service": "orders",
-        });
+        self.publish_routes(1, 1);
+    }
+
+    /// Publishes a configuration with a number of routes to one service.
+    fn publish_routes(&self, version: u64, count: u16) {
+        let route = |port| {
+            json!({
+                "name": "r", "hostname": "198.18.0.1", "prefix": format!("/{port}/"), "type": "safe", "timeout-ms": 1_000,
+                "target-latency-ms": 100, "priority": 1, "service": "orders",
+            })
+        };
+        let routes: Vec<_> = (443..443 + count).map(route).collect();
         let services = json!([{ "name": "orders", "warmup-s": 2.0 }]);
-        self.store.put("op/config", &json!({ "version": 1, "routes": [route], "services": services, "limits": {} }));
+        self.store
+            .put("op/config", &json!({ "version": version, "routes": routes, "services": services, "limits": {} }));
     }
 
     async fn status(&self, path: &str) -> Option<u16> {
@@ -83,6 +103,15 @@
         }
     }
 
+    /// Waits until the instance reports a value of a metric.
+    async fn wait_for_metric(&self, name: &str, value: u64) {
+        let (line, deadline) = (format!("hawthornshift_{name} {value}"), Instant::now() + WAIT_TIMEOUT);
+        while !self.text("/metrics").await.lines().any(|found| found == line) {
+            assert!(Instant::now() < deadline, "no {line}: {}", self.log());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     async fn text(&self, path: &str) -> String {
         let response = Call::get(self.instance.metrics(), path, CALL_TIMEOUT, 1 << 20).send().await.unwrap();
         String::from_utf8(response.body.to_vec()).unwrap()
@@ -129,6 +158,29 @@
     assert_eq!((dump["ready"].as_bool(), dump["version"].as_u64()), (Some(true), Some(1)));
 }
 
+/// Guards against an instance that never gets a change, since large entries of another writer make what it lacks exceed the
+/// size of a message.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_reaches_an_instance_that_lacks_more_than_a_message_holds() {
+    let mut first = TestInstance::new("parts").await;
+    first.publish();
+    first.instance.start(Path::new(BINARY)).unwrap();
+    first.wait_for("/api/ready", 200).await;
+    let mut second = first.neighbor();
+    second.instance.start(Path::new(BINARY)).unwrap();
+    second.wait_for("/api/ready", 200).await;
+    for index in 0..4 {
+        let entry = json!({
+            "service": format!("batch-{}", "n".repeat(720_000)), "address": "127.0.0.1:9", "zone": "norte", "version": "v1",
+            "slots": 2, "state": "ready", "sequence": 1, "warmup-left-ms": 0,
+        });
+        first.store.put(&format!("servers/batch-f{index}"), &entry);
+    }
+    first.publish_routes(2, 350);
+    first.wait_for_metric("configuration_version", 2).await;
+    second.wait_for_metric("configuration_version", 2).await;
+}
+
 /// Guards against a bandwidth in the settings that does not reach the link budget.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_narrow_link_in_the_settings_has_a_budget() {
