Log which entry of the store was refused first, and why

The log had only "entries refused" with their number, which fits an unusable value, an unusable field and an unknown route alike. The line now has the key and the reason of the first one, at most 200 characters, since reasons quote values of any length.

--- a/crates/direct/src/command.rs
+++ b/crates/direct/src/command.rs
@@ -19,8 +19,8 @@
     StoreAnswered {
         /// Store entries of the answer.
         delta: Delta,
-        /// Number of entries that were refused as malformed.
-        refused: usize,
+        /// What was refused as malformed.
+        refused: RefusedEntries,
     },
     /// A call to the store failed.
     StoreFailed {
@@ -58,6 +58,17 @@
     Metrics(oneshot::Sender<String>),
 }
 
+/// Entries of the store, or fields of them, that were refused as malformed.
+#[derive(Debug, Default)]
+pub struct RefusedEntries {
+    /// Their number.
+    pub count: usize,
+    /// Key of the first one.
+    pub first_key: String,
+    /// Reason for refusing the first one, shortened for the log.
+    pub first_reason: String,
+}
+
 /// Result of a request for a handover.
 #[derive(Debug)]
 pub enum PullOutcome {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -359,7 +359,7 @@
     fn handle_command(&mut self, command: Command) {
         let now = self.now();
         match command {
-            Command::StoreAnswered { delta, refused } => self.store_answered(now, &delta, refused),
+            Command::StoreAnswered { delta, refused } => self.store_answered(now, &delta, &refused),
             Command::StoreFailed { reason } => self.store_failed(&reason),
             Command::CheckFinished { target, outcome } => {
                 self.dispatcher.check_finished(now, target, outcome, &mut self.effects);
--- a/crates/direct/src/process/store_updates.rs
+++ b/crates/direct/src/process/store_updates.rs
@@ -15,6 +15,7 @@
 use crate::command;
 use crate::command::Command;
 use crate::command::PullOutcome;
+use crate::command::RefusedEntries;
 use crate::command::StoreReaderMode;
 use crate::decision_log::millis;
 use crate::peers;
@@ -88,11 +89,12 @@
         });
     }
 
-    pub(super) fn store_answered(&mut self, now: Timestamp, delta: &Delta, refused: usize) {
+    pub(super) fn store_answered(&mut self, now: Timestamp, delta: &Delta, refused: &RefusedEntries) {
         self.counts.store_answers += 1;
-        self.counts.entries_refused += refused as u64;
-        if refused > 0 {
-            warn!(self.log, "entries refused"; "count" => refused, "revision" => delta.revision);
+        self.counts.entries_refused += refused.count as u64;
+        if refused.count > 0 {
+            warn!(self.log, "entries refused"; "count" => refused.count, "revision" => delta.revision,
+                "first_key" => &refused.first_key, "first_reason" => &refused.first_reason);
         }
         if std::mem::take(&mut self.is_store_unavailable) {
             info!(self.log, "store answers again"; "revision" => delta.revision);
--- a/crates/direct/src/store_reader.rs
+++ b/crates/direct/src/store_reader.rs
@@ -8,10 +8,12 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::command::Command;
+use crate::command::RefusedEntries;
 use crate::command::StoreReaderMode;
 use hawthornshift_core::direct::store::store_entries::Delta;
 use hawthornshift_core::direct::store::watch::WATCH_WAIT;
 use hawthornshift_model::Revision;
+use hawthornshift_platform::entries::EntryError;
 use hawthornshift_platform::store::Answer;
 use hawthornshift_platform::store::StoreClient;
 use hawthornshift_platform::store::StoreError;
@@ -27,6 +29,8 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// Maximum delay after a failed call, so that the instance is synced soon after an outage of the store ends.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
+/// Maximum length of a logged reason for refusing an entry, in characters.
+const MAX_REASON_CHARS: usize = 200;
 
 /// Runs the store reader in the mode received from `modes` until cancelled.
 pub async fn run(
@@ -86,9 +90,16 @@
     }
 }
 
+fn refused_entries(refused: &[(String, EntryError)]) -> RefusedEntries {
+    let Some((key, reason)) = refused.first() else { return RefusedEntries::default() };
+    // The reason quotes values, which may be as long as the store permits.
+    let first_reason = reason.to_string().chars().take(MAX_REASON_CHARS).collect();
+    RefusedEntries { count: refused.len(), first_key: key.clone(), first_reason }
+}
+
 fn answer_command(since: Revision, full_read: bool, answer: Answer, after: &mut Revision) -> Command {
     *after = answer.revision.max(since);
-    let refused = answer.decoded.refused.len();
+    let refused = refused_entries(&answer.decoded.refused);
     let delta = Delta { since, revision: *after, is_snapshot: full_read, entries: answer.decoded.entries };
     Command::StoreAnswered { delta, refused }
 }
