Show that odd entries of other writers are refused alone

Reported by other operators: an entry nested deeply, with a number too large or with a port out of range ended the machines that read the list, or stopped them from following it. That does not happen here: each value is decoded by itself from its base64 text, with bounded depth, and an error refuses one entry.

--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -181,6 +181,37 @@
     second.wait_for_metric("configuration_version", 2).await;
 }
 
+/// Guards against a process that ends, or no longer follows the store, for odd entries of another writer: nested deeply, with
+/// numbers too large, or with a port out of range.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_entries_do_not_stop_an_instance() {
+    let mut test = TestInstance::new("odd").await;
+    test.publish();
+    let entry = |address: &str, slots: &str| {
+        format!(
+            r#"{{"service":"orders","address":"{address}","zone":"norte","version":"v1","slots":{slots},"state":"ready",
+            "sequence":1,"warmup-left-ms":0}}"#
+        )
+    };
+    let deep = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let odd = [deep.clone(), entry("127.0.0.1:99999", "2"), entry("127.0.0.1:9", "1e400"), entry("127.0.0.1:9", &deep)];
+    let write = |round: usize| {
+        for (index, value) in odd.iter().enumerate() {
+            test.store.put_bytes(&format!("servers/odd-{round}{index}"), value.as_bytes());
+        }
+        test.store.put_bytes(&format!("servers/i-{round}f"), entry("127.0.0.1:9", "2").as_bytes());
+    };
+    write(1);
+    test.instance.start(Path::new(BINARY)).unwrap();
+    test.wait_for("/api/ready", 200).await;
+    test.wait_for_metric("targets_listed", 1).await;
+    write(2);
+    test.publish_routes(2, 1);
+    test.wait_for_metric("configuration_version", 2).await;
+    test.wait_for_metric("targets_listed", 2).await;
+    assert!(test.instance.is_running());
+}
+
 /// Guards against a bandwidth in the settings that does not reach the link budget.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_narrow_link_in_the_settings_has_a_budget() {
