Read the store in full after a watch whose answer is too large

Cause: the answer to a watch holds all changes since a revision under any key. One above 4 MiB was treated as lost, and the same watch was repeated, by each instance that took over the role.

Change: an answer that is too large is an error of its own. After it, and after a watch whose answer cannot be decoded, the reader changes to a full read, whose pages are small, as after status 410. If watches go on failing so, the full reads are paced by the usual backoff, which a full read in place of a watch does not end. A larger limit was ruled out: 400 writes a second of 1 MiB exceed any.

--- a/crates/adapters/src/execute.rs
+++ b/crates/adapters/src/execute.rs
@@ -71,7 +71,7 @@
                 let answer = Answer::new(response.status, &response.headers, response.body);
                 attempt.answered(self.store_answer(answer))
             }
-            Err(ExchangeError::Incomplete(_)) => attempt.fail(Reason::AnswerIncomplete),
+            Err(ExchangeError::Incomplete(_) | ExchangeError::TooLarge(_)) => attempt.fail(Reason::AnswerIncomplete),
             Err(_) => attempt.fail(Reason::ConnectionBroken),
         }
     }
--- a/crates/adapters/src/http_client.rs
+++ b/crates/adapters/src/http_client.rs
@@ -11,6 +11,7 @@
 use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -35,9 +36,12 @@
     /// The request is not valid HTTP; nothing was sent.
     #[error("invalid request: {0}")]
     Malformed(#[from] http::Error),
-    /// The body of the answer was cut short or exceeds the size limit; the request has arrived.
+    /// The body of the answer was cut short; the request has arrived.
     #[error("incomplete answer: {0}")]
     Incomplete(String),
+    /// The body of the answer exceeds the size limit; the request has arrived.
+    #[error("the answer has more than {0} bytes")]
+    TooLarge(usize),
     /// The exchange exceeded its timeout; the request may have arrived.
     #[error("no answer within {0:?}")]
     Timeout(Duration),
@@ -85,7 +89,13 @@
     let response = sender.send_request(request).await?;
     let (parts, body) = response.into_parts();
     let body = Limited::new(body, max_answer_bytes).collect().await;
-    let body = body.map_err(|error| ExchangeError::Incomplete(error.to_string()))?;
+    let body = body.map_err(|error| {
+        if error.is::<LengthLimitError>() {
+            ExchangeError::TooLarge(max_answer_bytes)
+        } else {
+            ExchangeError::Incomplete(error.to_string())
+        }
+    })?;
     Ok(Response { status: parts.status, headers: parts.headers, body: body.to_bytes() })
 }
 
--- a/crates/direct/src/store_reader.rs
+++ b/crates/direct/src/store_reader.rs
@@ -16,7 +16,6 @@
 use hawthornshift_platform::entries::EntryError;
 use hawthornshift_platform::store::Answer;
 use hawthornshift_platform::store::StoreClient;
-use hawthornshift_platform::store::StoreError;
 
 /// Time allowed for an answer beyond the requested wait. The store answers in 4 ms, and in 250 ms when it is slow.
 const ANSWER_MARGIN: Duration = Duration::from_millis(450);
@@ -55,9 +54,46 @@
     }
 }
 
+/// Pauses after failed calls.
+#[derive(Debug)]
+struct Retry {
+    /// Upper bound of the next pause.
+    backoff: Duration,
+    /// Whether a watch was replaced by a full read and none has succeeded since.
+    fell_back: bool,
+}
+
+impl Default for Retry {
+    fn default() -> Self {
+        Self { backoff: INITIAL_BACKOFF, fell_back: false }
+    }
+}
+
+impl Retry {
+    /// Records a successful call. A full read in place of a watch does not count, since the watch after it may fail as the
+    /// one before.
+    fn record_success(&mut self, full_read: bool) {
+        if !full_read || !self.fell_back {
+            *self = Self::default();
+        }
+    }
+
+    /// Returns the pause after a failed call, given whether a full read follows it in place of a watch. There is no pause
+    /// before the first of those. `jitter` is a random fraction, so that instances that lost the store at the same time do not
+    /// retry in lockstep.
+    fn pause(&mut self, falls_back: bool, jitter: f64) -> Duration {
+        if falls_back && !std::mem::replace(&mut self.fell_back, true) {
+            return Duration::ZERO;
+        }
+        let pause = self.backoff.mul_f64(jitter);
+        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+        pause
+    }
+}
+
 /// Watches the store from a revision on, or reads it in full first if that is 0. Returns only after the process loop has ended.
 async fn follow_store(client: &mut StoreClient, mut after: Revision, tx: &mpsc::Sender<Command>) {
-    let mut backoff = INITIAL_BACKOFF;
+    let mut retry = Retry::default();
     loop {
         let full_read = after == 0;
         let answer = if full_read {
@@ -67,20 +103,18 @@
         };
         let (command, pause) = match answer {
             Ok(answer) => {
-                backoff = INITIAL_BACKOFF;
+                retry.record_success(full_read);
                 let has_changes = !full_read && !answer.decoded.entries.is_empty();
                 let command = answer_command(after, full_read, answer, &mut after);
                 (command, if has_changes { COALESCE_DELAY } else { Duration::ZERO })
             }
-            Err(StoreError::HistoryGone) => {
-                after = 0;
-                (Command::StoreFailed { reason: StoreError::HistoryGone.to_string() }, Duration::ZERO)
-            }
             Err(error) => {
-                // Random jitter, so that instances that lost the store at the same time do not retry in lockstep.
-                let pause = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
-                backoff = (backoff * 2).min(MAX_BACKOFF);
-                (Command::StoreFailed { reason: error.to_string() }, pause)
+                let falls_back = !full_read && error.requires_full_read();
+                if falls_back {
+                    after = 0;
+                }
+                let reason = error.to_string();
+                (Command::StoreFailed { reason }, retry.pause(falls_back, rand::rng().random_range(0.5..1.0)))
             }
         };
         if tx.send(command).await.is_err() {
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -181,6 +181,22 @@
     second.wait_for_metric("configuration_version", 2).await;
 }
 
+/// Guards against an instance that stops following the store: what another writer has written since the last answer exceeds
+/// the size that is accepted of an answer, and the same is asked for again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_follows_the_store_past_an_answer_that_is_too_large() {
+    let mut test = TestInstance::new("blobs").await;
+    test.store.set_page_size(2);
+    test.publish();
+    test.instance.start(Path::new(BINARY)).unwrap();
+    test.wait_for("/api/ready", 200).await;
+    for index in 0..6 {
+        test.store.put_bytes(&format!("servers/blob-f{index}"), &vec![1; 1_000_000]);
+    }
+    test.publish_routes(2, 1);
+    test.wait_for_metric("configuration_version", 2).await;
+}
+
 /// Guards against a process that ends, or no longer follows the store, for odd entries of another writer: nested deeply, with
 /// numbers too large, or with a port out of range.
 #[tokio::test(flavor = "multi_thread")]
