Relay new flow bindings and store updates to instances that start

Cause: the instance that saw a handshake reports the flow's target to the group that it knows. An instance that starts gets the bindings known to its source at that moment, and packets of callers soon after, but the reporters learn of it 0.1 to 0.3 s later. What they report meanwhile misses it. An instance that stops within 2 s of its first report never repeats it.

Change: the source of the state relays to the starting instance, for 2 s, bindings that are new to the source, its own reports, and store updates that are newer than its own state. The request for a handover names the requester's address for that. Known bindings are not relayed, so that two instances that started with each other's state do not relay to and fro. An instance that stops sends the reports that are still due before it ends. The log names who handed how many bindings to whom.

Tests: starting_peers (five, of functions that did not exist before).

--- a/crates/core/src/direct/dispatcher/binding.rs
+++ b/crates/core/src/direct/dispatcher/binding.rs
@@ -28,31 +28,39 @@
         self.flow_bindings.take_report(now)
     }
 
-    /// Applies a peer's report of flow bindings.
-    pub fn apply_flow_bindings(&mut self, now: Timestamp, report: &FlowBindingReport) {
-        for binding in &report.bindings {
-            self.learn_binding(now, *binding, Duration::MAX);
-        }
+    /// Takes the reports of all bindings of which one is still due, now or later: this instance is about to end, and nobody
+    /// else would repeat them.
+    pub fn take_remaining_flow_bindings(&mut self) -> Vec<FlowBindingReport> {
+        self.flow_bindings.take_remaining()
+    }
+
+    /// Applies a peer's report of flow bindings, and returns the bindings that were not known.
+    pub fn apply_flow_bindings(&mut self, now: Timestamp, report: &FlowBindingReport) -> Vec<FlowBinding> {
+        let bindings = report.bindings.iter().copied();
+        let new = bindings.filter(|binding| self.learn_binding(now, *binding, Duration::MAX)).collect();
         for flow in &report.requested {
             match self.flows.opened(*flow).map(|flow| flow.id) {
                 Some(id) => self.bind_flow(now, id),
                 None => self.flow_bindings.record_peer_request(now, *flow),
             }
         }
+        new
     }
 
-    /// Records a binding with its remaining lifetime. A SYN of the flow that this instance still handles is obsolete.
-    pub(super) fn learn_binding(&mut self, now: Timestamp, binding: FlowBinding, remaining: Duration) {
+    /// Records a binding with its remaining lifetime, and returns whether it is new. A SYN of the flow that this instance
+    /// still handles is obsolete.
+    pub(super) fn learn_binding(&mut self, now: Timestamp, binding: FlowBinding, remaining: Duration) -> bool {
         let flow_hash = flow_hash_of(binding.flow);
         self.flows.moved_to_peer(flow_hash);
         self.pending.remove(flow_hash);
         if !self.flow_bindings.learn(now, binding, remaining) {
-            return;
+            return false;
         }
         // A record made from the cookie of a moved flow may name a target at which the flow is not open.
         if let Some(target) = self.target_by_cookie(binding.target) {
             self.flows.rebind(binding.flow, target);
         }
+        true
     }
 
     /// Removes a flow in the handshake state that a peer reports, with the target that it has sent the flow to if the report
--- a/crates/core/src/direct/fleet/mod.rs
+++ b/crates/core/src/direct/fleet/mod.rs
@@ -3,10 +3,12 @@
 //! Adds the store watcher role and the exchange of store updates to the product's [`Membership`].
 //!
 //! - `view_sync` limits how often instances compare their views.
+//! - `starting_peers` lists the instances that have just received their state from this one.
 //! - `store_updates` distributes the watcher's store updates to all instances.
 //! - `change_log` summarizes membership changes for the log.
 
 mod change_log;
+mod starting_peers;
 mod store_updates;
 mod view_sync;
 
@@ -23,10 +25,12 @@
 
 pub use self::change_log::ChangeLog;
 pub use self::change_log::ChangeSummary;
+use self::starting_peers::StartingPeers;
 use self::store_updates::PendingFetch;
 use self::view_sync::MAX_VIEW_PARTS;
 use self::view_sync::ViewSync;
 use crate::Timestamp;
+use crate::direct::flow_bindings::FlowBinding;
 use crate::direct::flow_bindings::FlowBindingReport;
 use crate::direct::lifecycle::bootstrap::Discovery;
 use crate::direct::lifecycle::readiness::REMOTE_SILENCE_LIMIT;
@@ -142,6 +146,7 @@
     /// The highest revision that a peer announced and that is not known here yet, if any.
     pending_fetch: Option<PendingFetch>,
     directory_lag: DirectoryLag,
+    starting_peers: StartingPeers,
     view_sync: ViewSync,
     /// Whether the set of serving instances changed since the rest of the process was last notified.
     change_pending: bool,
@@ -174,6 +179,7 @@
             stateless_peers: BTreeMap::new(),
             pending_fetch: None,
             directory_lag: DirectoryLag::new(first_source),
+            starting_peers: StartingPeers::default(),
             view_sync: ViewSync::default(),
             change_pending: false,
             next_change_at: now,
@@ -376,6 +382,33 @@
         self.poll_changes(now).into_iter().collect()
     }
 
+    /// Records that this instance hands its state over to one that has just started, which others may not know yet.
+    pub fn handed_over(&mut self, now: Timestamp, address: SocketAddr) {
+        self.starting_peers.add(now, address);
+    }
+
+    /// Returns the addresses that a report of flow bindings goes to: those of the group, and those of instances that have
+    /// just received their state from this one.
+    #[must_use]
+    pub fn binding_recipients(&self, now: Timestamp, group: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut recipients = group.to_vec();
+        recipients.extend(self.starting_peers.without(now, group));
+        recipients
+    }
+
+    /// Returns the message that relays bindings, which a peer has reported and which were new here, to instances that have
+    /// just received their state from this one.
+    ///
+    /// Bindings that were known before are not relayed, so that two instances that have each received their state from the
+    /// other one do not relay a report to and fro.
+    #[must_use]
+    pub fn relay_flow_bindings(&self, now: Timestamp, bindings: Vec<FlowBinding>) -> Option<FleetEffect> {
+        let recipients = self.starting_peers.without(now, &[]);
+        let report = FlowBindingReport { bindings, requested: Vec::new() };
+        let is_needed = !recipients.is_empty() && !report.is_empty();
+        is_needed.then_some(FleetEffect::Send(recipients, Frame::FlowBindings(report)))
+    }
+
     /// Returns the other instances, for a peer that has just started.
     #[must_use]
     pub fn handover(&self) -> Vec<MemberUpdate> {
@@ -592,7 +625,7 @@
             effects.extend(self.watcher_role.tick(now, self.rank()).map(FleetEffect::RoleChange));
         }
         if let Some(announcement) = self.watcher_role.announcement(now, revision) {
-            effects.extend(self.broadcast(announcement, revision, None));
+            effects.extend(self.broadcast(now, announcement, revision, None));
         }
         effects.extend(self.poll_changes(now));
         effects
--- a/crates/core/src/direct/fleet/store_updates.rs
+++ b/crates/core/src/direct/fleet/store_updates.rs
@@ -65,7 +65,7 @@
     pub fn publish_delta(&mut self, now: Timestamp, revision: Revision, delta: Option<Arc<Delta>>) -> Vec<FleetEffect> {
         self.watcher_role.announce_now(now);
         let Some(announcement) = self.watcher_role.announcement(now, revision) else { return Vec::new() };
-        self.broadcast(announcement, revision, delta)
+        self.broadcast(now, announcement, revision, delta)
     }
 
     /// Records that the process was paused.
@@ -75,6 +75,7 @@
 
     pub(super) fn broadcast(
         &mut self,
+        now: Timestamp,
         announcement: Announcement,
         revision: Revision,
         delta: Option<Arc<Delta>>,
@@ -82,12 +83,12 @@
         let update =
             StoreUpdate { watcher: None, announcement, delta, sender_revision: revision, relay_to: Vec::new() };
         let mut members: Vec<&MemberUpdate> = self.membership.reachable().collect();
-        if members.is_empty() {
-            return Vec::new();
-        }
+        let mut addresses: Vec<SocketAddr> = members.iter().map(|member| member.control).collect();
+        let starting = self.starting_peers.without(now, &addresses);
         if members.len() <= MAX_DIRECT_RECIPIENTS {
-            let addresses = members.iter().map(|member| member.control).collect();
-            return vec![self.send_to(addresses, Message::StoreUpdate(update))];
+            addresses.extend(starting);
+            let update = (!addresses.is_empty()).then(|| self.send_to(addresses, Message::StoreUpdate(update)));
+            return update.into_iter().collect();
         }
         members.shuffle(&mut self.rng);
         // Responsive members are ordered first, because the first members of each group act as relays.
@@ -97,7 +98,10 @@
             domains.entry(member.failure_domain.as_str()).or_default().push(member);
         }
         let relay_groups = domains.values().flat_map(|members| relay_groups(members));
-        relay_groups.map(|(relay, recipients)| self.send_to(vec![relay], update_message(&update, recipients))).collect()
+        let groups = relay_groups.map(|(relay, recipients)| (vec![relay], recipients));
+        let starting = (!starting.is_empty()).then_some((starting, Vec::new()));
+        let sends = groups.chain(starting);
+        sends.map(|(to, recipients)| self.send_to(to, update_message(&update, recipients))).collect()
     }
 
     /// Handles an update received from the watcher, directly or through a relay.
@@ -115,7 +119,8 @@
         self.membership.merge_update(now, &watcher);
         let delta_revision = update.delta.as_ref().filter(|delta| delta.since <= revision).map(|delta| delta.revision);
         let known_revision = delta_revision.map_or(revision, |delta_revision| delta_revision.max(revision));
-        let mut effects: Vec<FleetEffect> = self.relay(now, &watcher, update, known_revision).into_iter().collect();
+        let relayed = self.relay(now, &watcher, update, known_revision, revision);
+        let mut effects: Vec<FleetEffect> = relayed.into_iter().collect();
         effects.extend(update.delta.clone().map(FleetEffect::ApplyDelta));
         let ranks_before = rank_key(watcher.id) > rank_key(self.membership.me().id);
         let role_change = self.watcher_role.receive(now, watcher.id, &update.announcement, ranks_before);
@@ -130,19 +135,24 @@
         effects
     }
 
-    /// Relays an update to the members listed in it.
+    /// Relays an update to the members listed in it, and one that is newer than revision `known_before` to instances that
+    /// have just received their state from this one.
     fn relay(
         &self,
         now: Timestamp,
         watcher: &MemberUpdate,
         update: &StoreUpdate,
         sender_revision: Revision,
+        known_before: Revision,
     ) -> Option<FleetEffect> {
         if now < self.relay_paused_until {
             return None;
         }
         let known = update.relay_to.iter().filter_map(|id| self.membership.member(*id));
-        let addresses: Vec<SocketAddr> = known.map(|member| member.control).collect();
+        let mut addresses: Vec<SocketAddr> = known.map(|member| member.control).collect();
+        if update.announcement.revision > known_before {
+            addresses.extend(self.starting_peers.without(now, &addresses));
+        }
         let watcher = Some(watcher.clone());
         let relayed = StoreUpdate { watcher, sender_revision, relay_to: Vec::new(), ..update.clone() };
         (!addresses.is_empty()).then(|| self.send_to(addresses, Message::StoreUpdate(relayed)))
--- a/crates/core/src/direct/flow_bindings.rs
+++ b/crates/core/src/direct/flow_bindings.rs
@@ -253,6 +253,16 @@
         bindings
     }
 
+    /// Takes the reports of all bindings of which one is scheduled, whenever it is due.
+    pub fn take_remaining(&mut self) -> Vec<FlowBindingReport> {
+        let known = &self.known;
+        let due = std::mem::take(&mut self.due_reports);
+        let bindings: Vec<FlowBinding> =
+            due.into_iter().filter_map(|(_, flow)| known.get(&flow)).map(|known| known.binding).collect();
+        let parts = bindings.chunks(MAX_REPORTED_BINDINGS);
+        parts.map(|part| FlowBindingReport { bindings: part.to_vec(), requested: Vec::new() }).collect()
+    }
+
     fn take_requests(&mut self, now: Timestamp) -> Vec<FlowKey> {
         if now < self.next_request || self.unsent_requests.is_empty() {
             return Vec::new();
--- a/crates/core/tests/direct/fleet.rs
+++ b/crates/core/tests/direct/fleet.rs
@@ -822,7 +822,11 @@
                     self.with(index, |instance, now, _| instance.dispatcher.apply_capacity_report(now, &report));
                 }
                 FleetEffect::ApplyFlowBindings(report) => {
-                    self.with(index, |instance, now, _| instance.dispatcher.apply_flow_bindings(now, &report));
+                    let relayed = self.with(index, |instance, now, _| {
+                        let new = instance.dispatcher.apply_flow_bindings(now, &report);
+                        instance.fleet.relay_flow_bindings(now, new)
+                    });
+                    self.carry_out_fleet_effects(index, relayed.flatten().into_iter().collect());
                 }
                 FleetEffect::Changed => {
                     self.with(index, |instance, now, _| {
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -23,6 +23,7 @@
 mod rules;
 mod search_work;
 mod slot_quota;
+mod starting_peers;
 mod store_updates;
 mod target_speed;
 mod timers;
--- a/crates/direct/src/command.rs
+++ b/crates/direct/src/command.rs
@@ -45,10 +45,8 @@
     },
     /// Another instance requests all entries newer than a revision.
     Handover {
-        /// Revision up to which the other instance is synced; 0 requests a snapshot.
-        since: Revision,
-        /// Position behind which the requested part begins; `None` if everything is requested at once.
-        after: Option<PartPosition>,
+        /// What it requests.
+        request: HandoverRequest,
         /// Receives the encoded handover.
         answer: oneshot::Sender<Vec<u8>>,
     },
@@ -58,6 +56,17 @@
     Metrics(oneshot::Sender<String>),
 }
 
+/// A request of another instance for a handover.
+#[derive(Clone, Copy, Debug)]
+pub struct HandoverRequest {
+    /// Revision up to which the other instance is synced; 0 requests a snapshot.
+    pub since: Revision,
+    /// Position behind which the requested part begins; `None` if everything is requested at once.
+    pub after: Option<PartPosition>,
+    /// Address for messages to the other instance; `None` if it did not state it.
+    pub requester: Option<SocketAddr>,
+}
+
 /// Entries of the store, or fields of them, that were refused as malformed.
 #[derive(Debug, Default)]
 pub struct RefusedEntries {
--- a/crates/direct/src/http_server.rs
+++ b/crates/direct/src/http_server.rs
@@ -5,12 +5,14 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderName;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -29,8 +31,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::command::Command;
+use crate::command::HandoverRequest;
 use crate::peers::HANDOVER_PATH;
 use crate::peers::PART_HEADER;
+use crate::peers::REQUESTER_HEADER;
 use hawthornshift_core::direct::store::parts::PartPosition;
 use hawthornshift_platform::READY_PATH;
 
@@ -174,11 +178,9 @@
         let Some(since) = since else {
             return respond(StatusCode::BAD_REQUEST, Bytes::from_static(b"since=REVISION is missing"));
         };
-        let after = req.headers().get(PART_HEADER).map(|after| after.to_str().ok().and_then(|text| text.parse().ok()));
-        if after == Some(None) {
-            return respond(StatusCode::BAD_REQUEST, Bytes::from_static(b"the position of the part is invalid"));
-        }
-        let after = after.flatten();
+        let (Ok(after), Ok(requester)) = (parse_header(req, PART_HEADER), parse_header(req, REQUESTER_HEADER)) else {
+            return respond(StatusCode::BAD_REQUEST, Bytes::from_static(b"the position or the requester is invalid"));
+        };
         if !self.handovers.has_state.load(Ordering::Relaxed) {
             return respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
         }
@@ -187,7 +189,8 @@
             return respond(StatusCode::TOO_MANY_REQUESTS, Bytes::new());
         }
         let (answer, rx) = oneshot::channel();
-        let sent = self.tx.send(Command::Handover { since, after, answer }).await;
+        let request = HandoverRequest { since, after, requester };
+        let sent = self.tx.send(Command::Handover { request, answer }).await;
         match rx.await.ok().filter(|_| sent.is_ok()) {
             Some(body) => respond(StatusCode::OK, handover_body(body, permit)),
             None => respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
@@ -195,6 +198,17 @@
     }
 }
 
+/// Parses a header, if there is one.
+fn parse_header<T: FromStr>(req: &Request<Incoming>, name: HeaderName) -> Result<Option<T>, InvalidHeader> {
+    let Some(value) = req.headers().get(name) else { return Ok(None) };
+    let text = value.to_str().map_err(|_| InvalidHeader)?;
+    text.parse().map(Some).map_err(|_| InvalidHeader)
+}
+
+/// A header cannot be parsed.
+#[derive(Clone, Copy, Debug)]
+struct InvalidHeader;
+
 fn handover_body(body: Vec<u8>, permit: Option<OwnedSemaphorePermit>) -> Bytes {
     match permit {
         Some(permit) => Bytes::from_owner(HandoverBody { body, _permit: permit }),
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -38,6 +38,8 @@
 /// Header of a request for a handover in parts: the position behind which the part begins. Instances of earlier versions
 /// ignore it and send everything at once.
 pub const PART_HEADER: HeaderName = HeaderName::from_static("handover-after");
+/// Header of a request for a handover: the requester's address for messages between instances.
+pub const REQUESTER_HEADER: HeaderName = HeaderName::from_static("handover-requester");
 /// HTTP path of the handover; contains the protocol version.
 pub const HANDOVER_PATH: &str = "/peer/v6/handover";
 
@@ -165,28 +167,33 @@
     (*version == PROTOCOL_VERSION).then(|| postcard::from_bytes(rest).ok()).flatten()
 }
 
-/// Requests all entries newer than revision `since` from an instance, part by part; `limit` is the timeout of each part.
+/// Requests all entries newer than revision `since` from an instance, part by part. `me` is the address of this instance, and
+/// `limit` the timeout of each part.
 ///
 /// # Errors
 ///
 /// Returns an error if the instance refuses, does not answer in time, or its answers cannot be decoded.
-pub async fn pull(from: SocketAddr, since: Revision, limit: Duration) -> Result<Handover, HandoverError> {
-    let mut handover = pull_part(from, since, PartPosition::START, limit).await?;
-    while let Some(after) = handover.next {
-        handover.append(pull_part(from, since, after, limit).await?)?;
-    }
-    Ok(handover)
-}
-
-async fn pull_part(
+pub async fn pull(
     from: SocketAddr,
+    me: SocketAddr,
     since: Revision,
-    after: PartPosition,
     limit: Duration,
 ) -> Result<Handover, HandoverError> {
     let mut call = Call::get(from, format!("{HANDOVER_PATH}?since={since}"), limit, MAX_HANDOVER_BYTES);
-    let after = HeaderValue::try_from(after.to_string()).map_err(http::Error::from).map_err(ExchangeError::from)?;
-    call.headers.insert(PART_HEADER, after);
+    call.headers.insert(REQUESTER_HEADER, header_value(&me)?);
+    let mut handover = pull_part(call.clone(), PartPosition::START).await?;
+    while let Some(after) = handover.next {
+        handover.append(pull_part(call.clone(), after).await?)?;
+    }
+    Ok(handover)
+}
+
+fn header_value(value: &impl ToString) -> Result<HeaderValue, ExchangeError> {
+    HeaderValue::try_from(value.to_string()).map_err(|error| ExchangeError::Malformed(error.into()))
+}
+
+async fn pull_part(mut call: Call, after: PartPosition) -> Result<Handover, HandoverError> {
+    call.headers.insert(PART_HEADER, header_value(&after)?);
     let response = call.send().await?;
     if response.status != StatusCode::OK {
         return Err(HandoverError::Refused(response.status));
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -250,6 +250,10 @@
     }
 
     fn announce_departure(&mut self) {
+        let recipients = self.fleet.binding_recipients(self.now(), &self.group_addresses);
+        for report in self.dispatcher.take_remaining_flow_bindings() {
+            self.peers.send(&recipients, &Frame::FlowBindings(report));
+        }
         let effects = self.fleet.announce_departure();
         self.execute_fleet_effects(effects);
         info!(self.log, "stopped"; "packets" => self.callers.counts().received, "after_ms" => millis(self.now()),
@@ -307,7 +311,12 @@
                 }
                 FleetEffect::ApplyAnswerTimes(report) => self.dispatcher.apply_answer_times(now, &report),
                 FleetEffect::ApplyCapacityReport(report) => self.dispatcher.apply_capacity_report(now, &report),
-                FleetEffect::ApplyFlowBindings(report) => self.dispatcher.apply_flow_bindings(now, &report),
+                FleetEffect::ApplyFlowBindings(report) => {
+                    let new = self.dispatcher.apply_flow_bindings(now, &report);
+                    if let Some(FleetEffect::Send(to, frame)) = self.fleet.relay_flow_bindings(now, new) {
+                        self.send(&to, frame);
+                    }
+                }
                 FleetEffect::Changed => self.fleet_changed(),
             }
         }
@@ -366,7 +375,7 @@
                 self.execute_effects();
             }
             Command::PullFinished { from, outcome, elapsed } => self.pull_finished(now, from, &outcome, elapsed),
-            Command::Handover { since, after, answer } => self.answer_handover(now, since, after, answer),
+            Command::Handover { request, answer } => self.answer_handover(now, request, answer),
             Command::Dump(answer) => drop(answer.send(dump::render(now, &self.sources()))),
             Command::Metrics(answer) => drop(answer.send(metrics::render(now, &self.sources()))),
         }
@@ -455,7 +464,8 @@
         }
         let report = self.dispatcher.take_flow_bindings(now);
         if !report.is_empty() {
-            self.peers.send(&self.group_addresses, &Frame::FlowBindings(report));
+            let recipients = self.fleet.binding_recipients(now, &self.group_addresses);
+            self.peers.send(&recipients, &Frame::FlowBindings(report));
         }
         if let Some(report) = self.dispatcher.take_answer_times(now) {
             self.peers.send(&self.group_addresses, &Frame::AnswerTimes(report));
--- a/crates/direct/src/process/store_updates.rs
+++ b/crates/direct/src/process/store_updates.rs
@@ -14,6 +14,7 @@
 use super::Process;
 use crate::command;
 use crate::command::Command;
+use crate::command::HandoverRequest;
 use crate::command::PullOutcome;
 use crate::command::RefusedEntries;
 use crate::command::StoreReaderMode;
@@ -23,11 +24,9 @@
 use hawthornshift_core::Timestamp;
 use hawthornshift_core::direct::lifecycle::bootstrap::Sources;
 use hawthornshift_core::direct::reports::message::Handover;
-use hawthornshift_core::direct::store::parts::PartPosition;
 use hawthornshift_core::direct::store::parts::PartRequest;
 use hawthornshift_core::direct::store::store_entries::Delta;
 use hawthornshift_core::direct::store::watch::RoleChange;
-use hawthornshift_model::Revision;
 
 impl Process {
     pub(super) fn confirm_up_to_date(&mut self, now: Timestamp) {
@@ -70,10 +69,11 @@
         self.current_pulls += 1;
         self.fleet.pull_started(now, from);
         let since = self.dispatcher.directory().fetch_since();
+        let me = self.config.platform.peer_address;
         let (tx, log) = (self.tx.clone(), self.log.clone());
         tokio::spawn(async move {
             let started = Instant::now();
-            let pulled = peers::pull(from, since, command::PULL_TIMEOUT).await;
+            let pulled = peers::pull(from, me, since, command::PULL_TIMEOUT).await;
             let elapsed = started.elapsed();
             let outcome = match pulled {
                 Ok(handover) => PullOutcome::Received(Box::new(handover)),
@@ -142,6 +142,9 @@
         self.execute_fleet_effects(effects);
         let changed = self.dispatcher.apply_handover(now, handover, &mut self.effects);
         self.execute_effects();
+        if handover.delta.is_snapshot {
+            info!(self.log, "state received"; "source" => from, "bindings" => handover.flow_bindings.len());
+        }
         if changed {
             self.log_update(&handover.delta, "handover", elapsed);
         }
@@ -153,13 +156,17 @@
     pub(super) fn answer_handover(
         &mut self,
         now: Timestamp,
-        since: Revision,
-        after: Option<PartPosition>,
+        request: HandoverRequest,
         answer: oneshot::Sender<Vec<u8>>,
     ) {
+        let HandoverRequest { since, after, requester } = request;
         let part = after.map_or(PartRequest::WHOLE, |after| PartRequest { after, max_bytes: peers::MAX_PART_BYTES });
         let handover = self.dispatcher.handover_part(now, since, part);
         let is_snapshot_request = since == 0;
+        if let Some(requester) = requester.filter(|_| is_snapshot_request && part.is_first()) {
+            info!(self.log, "state handed over"; "to" => requester, "bindings" => handover.flow_bindings.len());
+            self.fleet.handed_over(now, requester);
+        }
         let members = if is_snapshot_request && part.is_first() { self.fleet.handover() } else { Vec::new() };
         let body = match peers::encode_handover(&Handover { members, ..handover }) {
             Ok(body) => body,
