Let a new watcher of the store announce itself at once

Cause: when the watcher stops as planned and the store does not change, each other instance takes over the role in turn, 0.15 s apart. A watcher announces only what the store has answered, and its first watch is answered at the end of its wait, 1 s. An instance that starts meanwhile with seeds that do not watch has none, and reads the store, which has no flow bindings.

Change: the first watch waits for 1 ms. A takeover costs one call more, and the takeovers of the others do not happen.

--- a/crates/direct/src/store_reader.rs
+++ b/crates/direct/src/store_reader.rs
@@ -21,6 +21,9 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(450);
 /// Timeout for each page of a full read.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Wait of the first watch. Until the store has answered, an instance that takes over the watcher role cannot announce it, and
+/// the instances that rank after it take over as well.
+const FIRST_WATCH_WAIT: Duration = Duration::from_millis(1);
 /// Delay after a watch that returned changes, so that changes in quick succession cost one call instead of one each.
 /// Short compared with the 3 s within which a change must take effect.
 const COALESCE_DELAY: Duration = Duration::from_millis(200);
@@ -94,16 +97,18 @@
 /// Watches the store from a revision on, or reads it in full first if that is 0. Returns only after the process loop has ended.
 async fn follow_store(client: &mut StoreClient, mut after: Revision, tx: &mpsc::Sender<Command>) {
     let mut retry = Retry::default();
+    let mut wait = FIRST_WATCH_WAIT;
     loop {
         let full_read = after == 0;
         let answer = if full_read {
             client.read_all(PAGE_TIMEOUT).await
         } else {
-            client.watch(after, WATCH_WAIT, WATCH_WAIT + ANSWER_MARGIN).await
+            client.watch(after, wait, wait + ANSWER_MARGIN).await
         };
         let (command, pause) = match answer {
             Ok(answer) => {
                 retry.record_success(full_read);
+                wait = WATCH_WAIT;
                 let has_changes = !full_read && !answer.decoded.entries.is_empty();
                 let command = answer_command(after, full_read, answer, &mut after);
                 (command, if has_changes { COALESCE_DELAY } else { Duration::ZERO })
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -56,6 +56,8 @@
     page_size: usize,
     response_mode: ResponseMode,
     request_count: u64,
+    /// Time that each watch so far has requested to wait for a change.
+    watch_waits: Vec<Duration>,
 }
 
 /// A running store; clones share its state.
@@ -81,6 +83,7 @@
             page_size: 500,
             response_mode: ResponseMode::Normal,
             request_count: 0,
+            watch_waits: Vec::new(),
         };
         let store = Self {
             address: listener.local_addr()?,
@@ -149,6 +152,12 @@
         self.state().request_count
     }
 
+    /// Returns the time that each watch so far has requested to wait for a change.
+    #[must_use]
+    pub fn watch_waits(&self) -> Vec<Duration> {
+        self.state().watch_waits.clone()
+    }
+
     async fn handle_request(&self, req: &Request<Incoming>) -> Response<Full<Bytes>> {
         let response_mode = {
             let mut state = self.state();
@@ -180,8 +189,9 @@
 
     async fn watch(&self, query: &BTreeMap<String, String>) -> Response<Full<Bytes>> {
         let after: u64 = parameter(query, "after").parse().unwrap_or(0);
-        let wait: u64 = parameter(query, "wait-ms").parse().unwrap_or(0);
-        let end = tokio::time::Instant::now() + Duration::from_millis(wait);
+        let wait = Duration::from_millis(parameter(query, "wait-ms").parse().unwrap_or(0));
+        self.state().watch_waits.push(wait);
+        let end = tokio::time::Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
             {
