--- a/crates/core/src/direct/dispatcher/mod.rs
+++ b/crates/core/src/direct/dispatcher/mod.rs
@@ -574,11 +574,10 @@
     /// for which that is impossible are reset: new ones, and those recorded here, whose route was dropped under them. Others
     /// get no answer, and their callers retransmit the packet.
     fn handle_unrouted(&mut self, now: Timestamp, segment: &Segment, effects: &mut Vec<Effect>) {
-        if let Some(mut pending) = self.pending.take_flow(&segment.flow) {
-            if let SegmentKind::Syn { retransmissions } = segment.kind {
-                pending.copies.record(now, retransmissions);
-                self.reject_pending(now, &pending, Outcome::ResetNoRoute, effects);
-            }
+        let waiting = self.pending.take_flow(&segment.flow);
+        if let (SegmentKind::Syn { retransmissions }, Some(mut pending)) = (segment.kind, waiting) {
+            pending.copies.record(now, retransmissions);
+            self.reject_pending(now, &pending, Outcome::ResetNoRoute, effects);
             return;
         }
         let is_recorded = self.flows.remove(&segment.flow).is_some();
--- a/crates/core/src/direct/fleet/starting_peers.rs
+++ b/crates/core/src/direct/fleet/starting_peers.rs
@@ -10,8 +10,9 @@
 
 /// Time for which messages are relayed, by which all others know the new instance even if some datagrams are lost.
 const RELAY_TIME: Duration = Duration::from_secs(2);
-/// Maximum number of instances to relay to. A source hands its state over to three at a time, each within some 100 ms.
-const MAX_STARTING_PEERS: usize = 32;
+/// Maximum number of instances to relay to. In rolling restarts there are a few. After a loss of power there may be dozens,
+/// which hold no flows yet, and messages to all of them would fill a narrow link.
+const MAX_STARTING_PEERS: usize = 16;
 
 /// The instances that have just received their state from this one.
 #[derive(Clone, Debug, Default)]
--- a/crates/core/tests/direct/starting_peers.rs
+++ b/crates/core/tests/direct/starting_peers.rs
@@ -147,7 +147,7 @@
     for index in 2..202 {
         source.handed_over(NOW, address(index));
     }
-    assert!(source.binding_recipients(NOW, &[]).len() <= 32);
+    assert!(source.binding_recipients(NOW, &[]).len() <= 16);
     assert!(source.binding_recipients(NOW + Duration::from_secs(2), &[]).is_empty());
 }
 
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -313,9 +313,8 @@
                 FleetEffect::ApplyCapacityReport(report) => self.dispatcher.apply_capacity_report(now, &report),
                 FleetEffect::ApplyFlowBindings(report) => {
                     let new = self.dispatcher.apply_flow_bindings(now, &report);
-                    if let Some(FleetEffect::Send(to, frame)) = self.fleet.relay_flow_bindings(now, new) {
-                        self.send(&to, frame);
-                    }
+                    let relayed = self.fleet.relay_flow_bindings(now, new);
+                    self.execute_fleet_effects(relayed.into_iter().collect());
                 }
                 FleetEffect::Changed => self.fleet_changed(),
             }
